--- /dev/null
+++ b/src/bin/whinpond-benchlink/wire.rs
@@ -0,0 +1,600 @@
+//! The wire of the simulator: lines to events, actions to lines, settings from JSON.
+
+use std::collections::BTreeMap;
+use std::fmt;
+use std::io::{self, BufRead, Write};
+use std::panic::{catch_unwind, AssertUnwindSafe};
+use std::str::{FromStr, Split};
+
+use serde::Deserialize;
+use whinpond::interface::*;
+use whinpond::Balancer;
+
+/// Why the adapter stopped.
+#[derive(Debug)]
+pub enum Fault {
+    /// A line that the wire does not allow: its number, its text and the cause.
+    Line(u64, String, String),
+    /// The input ended inside a batch.
+    Truncated(u64),
+    /// Reading or writing failed.
+    Io(io::Error),
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Fault::Line(number, text, cause) => {
+                let shown: String = text.chars().take(200).collect();
+                write!(f, "line {number}: {cause}: {shown:?}")
+            }
+            Fault::Truncated(number) => write!(f, "line {number}: input ended inside a batch"),
+            Fault::Io(error) => write!(f, "{error}"),
+        }
+    }
+}
+
+impl From<io::Error> for Fault {
+    fn from(error: io::Error) -> Self {
+        Fault::Io(error)
+    }
+}
+
+/// The names a running instance needs to read its events.
+struct Instance {
+    balancer: Balancer,
+    classes: Vec<String>,
+    tenants: Vec<String>,
+    zones: Vec<String>,
+    kinds: Vec<String>,
+    fields: Vec<Field>,
+}
+
+#[derive(Clone, Copy)]
+enum Field {
+    Inflight,
+    Queue,
+    Utilisation,
+    Service,
+    Rate,
+    Errors,
+    Unknown,
+}
+
+/// A list entry with its names unresolved: lists serve the whole process, names belong to an instance.
+struct Listed {
+    entry: BackendEntry,
+    zone: String,
+    kind: String,
+}
+
+#[derive(Default)]
+struct Host {
+    instances: BTreeMap<String, Instance>,
+    pools: BTreeMap<u32, Vec<Listed>>,
+    /// Actions of this batch in the order of their events, with the instance that took them.
+    replies: Vec<(String, Vec<Action>)>,
+    panicked: Option<(String, String)>,
+    now: Micros,
+}
+
+/// Answers batches until the input ends.
+pub fn run(mut input: impl BufRead, mut output: impl Write) -> Result<(), Fault> {
+    let mut lines = Lines { text: String::new(), number: 0 };
+    let mut host = Host::default();
+    while lines.next(&mut input)? {
+        let head = lines.text.strip_prefix("BATCH ").ok_or_else(|| lines.fault("expected BATCH"))?;
+        let mut parts = Parts::new(head);
+        let sequence: u64 = parts
+            .time()
+            .and_then(|t| {
+                host.now = t;
+                parts.number()
+            })
+            .map_err(|c| lines.fault(&c))?;
+        parts.done().map_err(|c| lines.fault(&c))?;
+        let mut current = String::new();
+        loop {
+            if !lines.next(&mut input)? {
+                return Err(Fault::Truncated(lines.number));
+            }
+            if lines.text == "OVER_TO_YOU" {
+                break;
+            }
+            if let Some(rest) = lines.text.strip_prefix("POOL ") {
+                let (sheet, count) = pool_head(rest).map_err(|c| lines.fault(&c))?;
+                let mut list = Vec::new();
+                for _ in 0..count {
+                    if !lines.next(&mut input)? {
+                        return Err(Fault::Truncated(lines.number));
+                    }
+                    list.push(listed(&lines.text).map_err(|c| lines.fault(&c))?);
+                }
+                host.pools.insert(sheet, list);
+            } else if let Some(name) = lines.text.strip_prefix("SWITCH_TO ") {
+                current = name.to_owned();
+            } else {
+                host.event(&current, &lines.text).map_err(|c| lines.fault(&c))?;
+            }
+        }
+        host.reply(&mut output, sequence)?;
+    }
+    Ok(())
+}
+
+struct Lines {
+    text: String,
+    number: u64,
+}
+
+impl Lines {
+    fn next(&mut self, input: &mut impl BufRead) -> Result<bool, Fault> {
+        self.text.clear();
+        let read = input.read_line(&mut self.text)?;
+        if read > 0 {
+            self.number += 1;
+            let kept = self.text.trim_end_matches(['\n', '\r']).len();
+            self.text.truncate(kept);
+        }
+        Ok(read > 0)
+    }
+
+    fn fault(&self, cause: &str) -> Fault {
+        Fault::Line(self.number, self.text.clone(), cause.to_owned())
+    }
+}
+
+/// The values of one line.
+struct Parts<'a>(Split<'a, char>);
+
+impl<'a> Parts<'a> {
+    fn new(text: &'a str) -> Self {
+        Parts(text.split(' '))
+    }
+
+    fn word(&mut self) -> Result<&'a str, String> {
+        self.0.next().filter(|w| !w.is_empty()).ok_or_else(|| "a value is missing".to_owned())
+    }
+
+    fn number<T: FromStr>(&mut self) -> Result<T, String> {
+        let word = self.word()?;
+        word.parse().map_err(|_| format!("not a number of the right kind: {word}"))
+    }
+
+    fn optional<T: FromStr>(&mut self) -> Result<Option<T>, String> {
+        match self.word()? {
+            "-" => Ok(None),
+            word => word.parse().map(Some).map_err(|_| format!("not a number of the right kind: {word}")),
+        }
+    }
+
+    fn time(&mut self) -> Result<Micros, String> {
+        self.optional_time()?.ok_or_else(|| "a time is missing".to_owned())
+    }
+
+    fn optional_time(&mut self) -> Result<Option<Micros>, String> {
+        match self.optional::<f64>()? {
+            Some(ms) if !ms.is_finite() || ms.abs() > 1e15 => Err(format!("not a time: {ms}")),
+            ms => Ok(ms.map(micros)),
+        }
+    }
+
+    fn flag(&mut self) -> Result<bool, String> {
+        match self.word()? {
+            "0" | "-" => Ok(false),
+            "1" => Ok(true),
+            word => Err(format!("not 0 or 1: {word}")),
+        }
+    }
+
+    fn done(&mut self) -> Result<(), String> {
+        self.0.next().map_or(Ok(()), |word| Err(format!("a value too many: {word}")))
+    }
+}
+
+fn micros(ms: f64) -> Micros {
+    (ms * 1000.0).round() as Micros
+}
+
+fn pool_head(rest: &str) -> Result<(u32, u64), String> {
+    let mut parts = Parts::new(rest);
+    let head = (parts.number()?, parts.number()?);
+    parts.done()?;
+    Ok(head)
+}
+
+fn listed(line: &str) -> Result<Listed, String> {
+    let mut parts = Parts::new(line.strip_prefix("BACKEND ").ok_or("expected BACKEND")?);
+    let stage = match parts.word()? {
+        "0" => Stage::Gone,
+        "1" => Stage::Ready,
+        "2" => Stage::Draining,
+        word => return Err(format!("unknown stage {word}")),
+    };
+    let weight = parts.optional::<f64>()?.unwrap_or(1.0);
+    let up_since = parts.optional_time()?.filter(|&t| t != 0);
+    let (zone, kind) = (parts.word()?.to_owned(), parts.word()?.to_owned());
+    let entry = BackendEntry {
+        id: BackendId(parts.number()?),
+        stage,
+        weight,
+        up_since,
+        cell: parts.optional()?,
+        ..BackendEntry::default()
+    };
+    parts.done()?;
+    Ok(Listed { entry, zone, kind })
+}
+
+/// Hex digits as bytes; `-` stands for none.
+fn bytes(word: &str) -> Result<Vec<u8>, String> {
+    let bad = || format!("not hex digits: {word}");
+    let word = if word == "-" { "" } else { word };
+    if !word.is_ascii() || word.len() % 2 != 0 {
+        return Err(bad());
+    }
+    (0..word.len()).step_by(2).map(|i| u8::from_str_radix(&word[i..i + 2], 16).map_err(|_| bad())).collect()
+}
+
+fn outcome(word: &str) -> Result<Outcome, String> {
+    Ok(match word {
+        "GOOD" => Outcome::Ok,
+        "BAD" => Outcome::Error,
+        "FULL" => Outcome::Full,
+        "LATE" => Outcome::Timeout,
+        "NOCONN" => Outcome::ConnectFailed,
+        "RST" => Outcome::Reset,
+        "CXL" => Outcome::Cancelled,
+        "NOP" => Outcome::Moot,
+        _ => return Err(format!("unknown outcome {word}")),
+    })
+}
+
+/// The index of a name; a name that the settings left out gets the next one.
+fn intern(names: &mut Vec<String>, name: &str) -> usize {
+    names.iter().position(|n| n == name).unwrap_or_else(|| {
+        names.push(name.to_owned());
+        names.len() - 1
+    })
+}
+
+impl Instance {
+    fn report(&self, word: &str) -> Result<Option<Report>, String> {
+        if word == "-" {
+            return Ok(None);
+        }
+        let mut report = Report::default();
+        for (value, field) in word.split(',').zip(&self.fields) {
+            let value = match value {
+                "-" | "" => continue,
+                v => Some(
+                    v.parse::<f64>()
+                        .ok()
+                        .filter(|x| x.is_finite())
+                        .ok_or(format!("not a load report: {word}"))?,
+                ),
+            };
+            match field {
+                Field::Inflight => report.inflight = value,
+                Field::Queue => report.queue = value,
+                Field::Utilisation => report.utilisation = value,
+                Field::Service => report.service_ms = value,
+                Field::Rate => report.rate = value,
+                Field::Errors => report.errors = value,
+                Field::Unknown => {}
+            }
+        }
+        Ok(Some(report))
+    }
+}
+
+impl Host {
+    fn event(&mut self, name: &str, line: &str) -> Result<(), String> {
+        let (kind, rest) = line.split_once(' ').unwrap_or((line, ""));
+        let mut parts = Parts::new(rest);
+        match kind {
+            "POWER_ON" => {
+                let (seed, config) = rest.split_once(' ').ok_or("a value is missing")?;
+                let seed = seed.parse().map_err(|_| format!("not a seed: {seed}"))?;
+                if name.is_empty() {
+                    return Err("no SWITCH_TO before it".to_owned());
+                }
+                self.instances.insert(name.to_owned(), start(seed, config)?);
+                return Ok(());
+            }
+            "KILLED" => {
+                // What the instance said earlier in this batch speaks of requests that are void now.
+                self.replies.retain(|(who, _)| who != name);
+                self.instances.remove(name).ok_or_else(|| format!("no instance {name:?}"))?;
+                return Ok(());
+            }
+            _ => {}
+        }
+        let instance = self.instances.get_mut(name).ok_or_else(|| format!("no instance {name:?}"))?;
+        let mut entries = Vec::new();
+        let payload;
+        let event = match kind {
+            "ENDPOINTS" => {
+                let sheet: Option<u32> = parts.optional()?;
+                let scope = match parts.word()? {
+                    "0" => ListScope::Failed,
+                    "1" => ListScope::Full,
+                    "2" => ListScope::Cached,
+                    "4" => ListScope::Delta,
+                    word => return Err(format!("unknown scope {word}")),
+                };
+                parts.word()?;
+                if scope != ListScope::Failed {
+                    let pool = sheet.and_then(|s| self.pools.get(&s)).ok_or("no such POOL")?;
+                    entries.extend(pool.iter().map(|l| BackendEntry {
+                        zone: intern(&mut instance.zones, &l.zone),
+                        kind: intern(&mut instance.kinds, &l.kind),
+                        ..l.entry.clone()
+                    }));
+                }
+                Event::Backends { scope, entries: &entries }
+            }
+            "SUBMIT" => {
+                let id = RequestId(parts.number()?);
+                let work: Option<f64> = parts.optional()?;
+                let marks: u64 = parts.optional()?.unwrap_or(0);
+                parts.word()?;
+                let class = parts.word()?;
+                let class = instance
+                    .classes
+                    .iter()
+                    .position(|c| c == class)
+                    .ok_or(format!("unknown class {class}"))?;
+                let time_left = parts.time()?;
+                let tenant = parts.word()?;
+                Event::Request(NewRequest {
+                    id,
+                    class,
+                    tenant: instance.tenants.iter().position(|t| t == tenant),
+                    time_left,
+                    work: work.filter(|w| marks & 1 != 0 && w.is_finite() && *w > 0.0).map(micros),
+                    is_retry: marks & 2 != 0,
+                })
+            }
+            "OPENED" => {
+                let request = RequestId(parts.number()?);
+                let _ = (parts.number::<u64>()?, parts.number::<u32>()?, parts.time()?);
+                Event::StreamStarted { request }
+            }
+            "RESOLVED" => Event::Outcome {
+                request: RequestId(parts.number()?),
+                attempt: parts.number()?,
+                backend: BackendId(parts.number()?),
+                outcome: outcome(parts.word()?)?,
+                took: parts.time()?,
+                is_final: parts.flag()?,
+                report: instance.report(parts.word()?)?,
+            },
+            "CANCELLED_BY_CLIENT" => Event::ClientGone(RequestId(parts.number()?)),
+            "DUE" => Event::Timer(parts.number()?),
+            "HEALTH" => Event::Probed {
+                backend: BackendId(parts.number()?),
+                outcome: outcome(parts.word()?)?,
+                took: parts.time()?,
+                report: instance.report(parts.word()?)?,
+            },
+            "HEARD" => {
+                let from = parts.number()?;
+                payload = bytes(parts.word()?)?;
+                Event::Told { from, payload: &payload }
+            }
+            _ => return Err("unknown event".to_owned()),
+        };
+        parts.done()?;
+        if self.panicked.is_some() {
+            return Ok(());
+        }
+        let fresh = self.replies.last().is_none_or(|(who, _)| who != name);
+        if fresh {
+            self.replies.push((name.to_owned(), Vec::new()));
+        }
+        let actions = &mut self.replies.last_mut().expect("just pushed").1;
+        let (now, balancer) = (self.now, &mut instance.balancer);
+        if let Err(cause) = catch_unwind(AssertUnwindSafe(|| balancer.handle(now, event, actions))) {
+            let text = cause.downcast_ref::<&str>().map(|s| (*s).to_owned());
+            let text = text.or_else(|| cause.downcast_ref::<String>().cloned());
+            let text = text.unwrap_or_else(|| "panic without a text".to_owned()).replace(['\n', '\r'], " ");
+            self.panicked = Some((name.to_owned(), text));
+        }
+        Ok(())
+    }
+
+    fn reply(&mut self, out: &mut impl Write, sequence: u64) -> io::Result<()> {
+        for (name, actions) in self.replies.drain(..).filter(|(_, a)| !a.is_empty()) {
+            writeln!(out, "FOR {name}")?;
+            for action in actions {
+                print(out, &action)?;
+            }
+        }
+        if let Some((name, text)) = self.panicked.take() {
+            writeln!(out, "FOR {name}\nPANIC {text}")?;
+        }
+        writeln!(out, "EOR {sequence}")?;
+        out.flush()
+    }
+}
+
+/// Microseconds as milliseconds, exactly.
+struct Ms(Micros);
+
+impl fmt::Display for Ms {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let sign = if self.0 < 0 { "-" } else { "" };
+        let us = self.0.unsigned_abs();
+        write!(f, "{sign}{}.{:03}", us / 1000, us % 1000)
+    }
+}
+
+fn print(out: &mut impl Write, action: &Action) -> io::Result<()> {
+    match action {
+        Action::Send { request, backend, until } => {
+            writeln!(out, "TRANSMIT {} {} {}", request.0, backend.0, Ms(*until))
+        }
+        Action::Refuse { request, retry_after } => {
+            writeln!(out, "DECLINE {} {}", request.0, Ms(*retry_after))
+        }
+        Action::Fail(request) => writeln!(out, "FAIL {}", request.0),
+        Action::Cancel { request, attempt } => writeln!(out, "STOP_ATTEMPT {} {attempt}", request.0),
+        Action::Timer { at, token } => writeln!(out, "REMIND {} {token}", Ms(*at)),
+        Action::Subscribe => writeln!(out, "TRACK 1"),
+        Action::Probe(backend) => writeln!(out, "SOUND_OUT {}", backend.0),
+        Action::Tell { to, payload } => {
+            write!(out, "TELL {to} ")?;
+            payload.iter().try_for_each(|byte| write!(out, "{byte:02x}"))?;
+            writeln!(out)
+        }
+        Action::Log(text) => writeln!(out, "SAY_LOG {}", text.replace(['\n', '\r'], " ")),
+    }
+}
+
+#[derive(Deserialize, Default)]
+#[serde(default)]
+struct Config {
+    balancers: u32,
+    rank: u32,
+    stage: usize,
+    stages: Vec<String>,
+    my_zone: String,
+    zones: Vec<String>,
+    host_types: Vec<String>,
+    request_classes: Vec<ClassConfig>,
+    tenants: Vec<TenantConfig>,
+    discovery: String,
+    tick_ms: f64,
+    penalties: PenaltyConfig,
+    limits: LimitConfig,
+    contract: ContractConfig,
+    telemetry: TelemetryConfig,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(default)]
+struct ClassConfig {
+    name: String,
+    promise_ms: f64,
+    deadline_ms: f64,
+    semantics: String,
+    group: String,
+    dedup_window_ms: f64,
+    gain: f64,
+    late_value: f64,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(default)]
+struct TenantConfig {
+    name: String,
+    quota_per_s: f64,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(default)]
+struct PenaltyConfig {
+    cross_zone: f64,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(default)]
+struct LimitConfig {
+    cancel: bool,
+    max_attempts: usize,
+    max_retry_after_ms: f64,
+    peers: bool,
+    probes: bool,
+    retry_after: bool,
+    second_copies: bool,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(default)]
+struct ContractConfig {
+    cold_from: f64,
+    cold_ms: f64,
+    fall_multiple: f64,
+    fall_ms: f64,
+    must_ask_in_ms: f64,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(default)]
+struct TelemetryConfig {
+    fields: Vec<String>,
+}
+
+fn semantics(class: &ClassConfig) -> Result<Semantics, String> {
+    Ok(match class.semantics.as_str() {
+        "idempotent" => Semantics::Idempotent,
+        "at_most_once" => Semantics::AtMostOnce,
+        "deduplicated" => Semantics::Deduplicated {
+            group: match class.group.as_str() {
+                "all" => Group::All,
+                "zone" => Group::Zone,
+                "cell" => Group::Cell,
+                other => return Err(format!("unknown group {other:?}")),
+            },
+            window: micros(class.dedup_window_ms),
+        },
+        other => return Err(format!("unknown semantics {other:?}")),
+    })
+}
+
+fn start(seed: u64, config: &str) -> Result<Instance, String> {
+    let c: Config = serde_json::from_str(config).map_err(|e| format!("bad settings: {e}"))?;
+    let mut zones = c.zones;
+    let classes = c.request_classes.iter().map(|k| {
+        Ok(Class {
+            aim: micros(k.promise_ms),
+            deadline: micros(k.deadline_ms),
+            gain: k.gain,
+            late_value: k.late_value,
+            semantics: semantics(k)?,
+        })
+    });
+    let settings = Settings {
+        balancers: c.balancers,
+        rank: c.rank,
+        tier: c.stage,
+        tiers: c.stages.len(),
+        zone: intern(&mut zones, &c.my_zone),
+        classes: classes.collect::<Result<_, String>>()?,
+        tenants: c.tenants.iter().map(|t| Tenant { quota_per_s: t.quota_per_s }).collect(),
+        cross_zone_price: c.penalties.cross_zone,
+        ask_discovery: c.discovery == "on_request",
+        must_ask_in: micros(c.contract.must_ask_in_ms),
+        can_cancel: c.limits.cancel,
+        second_copies: c.limits.second_copies,
+        can_probe: c.limits.probes,
+        peers: c.limits.peers,
+        retry_after: c.limits.retry_after,
+        max_retry_after: micros(c.limits.max_retry_after_ms),
+        max_attempts: c.limits.max_attempts,
+        tick: micros(c.tick_ms),
+        cold_from: c.contract.cold_from,
+        cold_time: micros(c.contract.cold_ms),
+        fall_multiple: c.contract.fall_multiple,
+        fall_time: micros(c.contract.fall_ms),
+    };
+    settings.check().map_err(|e| format!("unusable settings: {e}"))?;
+    let fields = c.telemetry.fields.iter().map(|f| match f.as_str() {
+        "concurrent" => Field::Inflight,
+        "depth" => Field::Queue,
+        "load_share" => Field::Utilisation,
+        "mean_ms" => Field::Service,
+        "tps" => Field::Rate,
+        "err_ps" => Field::Errors,
+        _ => Field::Unknown,
+    });
+    Ok(Instance {
+        fields: fields.collect(),
+        classes: c.request_classes.into_iter().map(|k| k.name).collect(),
+        tenants: c.tenants.into_iter().map(|t| t.name).collect(),
+        zones,
+        kinds: c.host_types,
+        balancer: Balancer::new(settings, seed),
+    })
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,70 @@
+//! The decisions of a load balancer for services that call services.
+//!
+//! [`Balancer`] is one proxy's decision maker: it is told what happens ([`Event`]), and says what to do
+//! ([`Action`]). It reads no clock, does no I/O and shares nothing, so equal events give equal actions.
+//!
+//! A proxy's life, with one server and one request:
+//!
+//! ```
+//! use whinpond::interface::*;
+//! use whinpond::Balancer;
+//!
+//! let class = Class { aim: 500_000, deadline: 2_000_000, gain: 1.0, ..Class::default() };
+//! let settings =
+//!     Settings { balancers: 1, tiers: 1, classes: vec![class], max_attempts: 3, ..Settings::default() };
+//! settings.check().expect("usable settings");
+//! let mut balancer = Balancer::new(settings, 7);
+//! let mut actions = Vec::new();
+//!
+//! // The list, as discovery tells it. Times are microseconds on a clock that never runs backwards.
+//! let backend = BackendEntry { id: BackendId(40), ..BackendEntry::default() };
+//! balancer.handle(0, Event::Backends { scope: ListScope::Cached, entries: &[backend] }, &mut actions);
+//! // The first event asks for the timer that the cursor steps by; hand it back when it is due.
+//! let Action::Timer { at, token } = actions[0] else { panic!("{actions:?}") };
+//!
+//! // A request: start the attempt, and give it up at `until` with `Outcome::Timeout`.
+//! actions.clear();
+//! let request = NewRequest { id: RequestId(1), class: 0, time_left: 2_000_000, ..NewRequest::default() };
+//! balancer.handle(1_000, Event::Request(request), &mut actions);
+//! let Action::Send { request, backend, until } = actions[0] else { panic!("{actions:?}") };
+//! assert_eq!((backend, until), (BackendId(40), 501_000));
+//!
+//! // Its outcome. A first `Ok` answers the client, so it is final and nothing more is owed; after any other
+//! // the balancer sends again, refuses or fails.
+//! actions.clear();
+//! let ended = Event::Outcome {
+//!     request,
+//!     attempt: 0,
+//!     backend,
+//!     outcome: Outcome::Ok,
+//!     took: 20_000,
+//!     is_final: true,
+//!     report: None,
+//! };
+//! balancer.handle(21_000, ended, &mut actions);
+//! assert!(actions.is_empty());
+//!
+//! balancer.handle(at, Event::Timer(token), &mut actions);
+//! assert!(matches!(actions[0], Action::Timer { .. }));
+//! // To shut down, drop it: what it held is the clients' to retry.
+//! ```
+//!
+//! # What the caller owes
+//!
+//! One event at a time, actions carried out in order, exactly one outcome for each [`Action::Send`] (at its
+//! `until` at the latest), every timer handed back, and request ids that are never used twice.
+//!
+//! # Bad input
+//!
+//! Nothing panics. [`Settings::check`] says what is wrong with settings; unusable ones are brought within
+//! bounds. Times are cut off at [`interface::TIME_LIMIT`], a clock that runs backwards stands still, reports
+//! that are no finite number are passed over, and so are unknown requests, servers, peers and messages. A
+//! request of an unknown class is refused; an id that is already held is passed over.
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+mod choice;
+pub mod interface;
+
+pub use choice::Balancer;
+pub use interface::{Action, Event, Settings};
--- /dev/null
+++ b/tests/adapter.rs
@@ -0,0 +1,90 @@
+//! The adapter from text to text.
+use std::io::Write;
+use std::process::{Command, Output, Stdio};
+
+fn adapter(input: &str) -> Output {
+    let mut child = Command::new(env!("CARGO_BIN_EXE_whinpond-benchlink"))
+        .stdin(Stdio::piped())
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped())
+        .spawn()
+        .expect("the adapter starts");
+    // It may stop reading at the first line that it cannot use.
+    let _ = child.stdin.take().expect("piped").write_all(input.as_bytes());
+    child.wait_with_output().expect("the adapter ends")
+}
+
+fn settings(extra: &str) -> String {
+    let class = r#"{"name":"a","promise_ms":100,"deadline_ms":400,"semantics":"idempotent","gain":1}"#;
+    format!(
+        r#"{{"balancers":1,"rank":0,"stage":0,"stages":["t"],"zones":["z"],"my_zone":"z","tick_ms":1,
+"discovery":"pushed","limits":{{"max_attempts":3,"cancel":true}},"request_classes":[{class}]{extra}}}"#
+    )
+    .replace('\n', "")
+}
+
+fn start(name: &str, extra: &str) -> String {
+    format!(
+        "SWITCH_TO {name}\nPOWER_ON 7 {}\nPOOL 0 1\nBACKEND 1 1 - z k 5 -\nENDPOINTS 0 2 1\n",
+        settings(extra)
+    )
+}
+
+fn submit(id: u32) -> String {
+    format!("SUBMIT {id} - 0 - a 400 -\n")
+}
+
+#[track_caller]
+fn fails(input: &str, line: usize, cause: &str) {
+    let output = adapter(input);
+    let said = String::from_utf8(output.stderr).expect("text");
+    assert!(!output.status.success(), "it went on: {said}");
+    assert!(said.contains(&format!("line {line}")) && said.contains(cause), "{said}");
+}
+
+#[test]
+fn a_request_is_sent_and_several_instances_keep_their_own() {
+    let input = format!(
+        "BATCH 1000 1\n{}{}SWITCH_TO proxy-2\nPOWER_ON 8 {}\n{}OVER_TO_YOU\n",
+        start("proxy-1", r#","unheard_of":{"x":1}"#),
+        submit(11),
+        settings(""),
+        submit(12),
+    );
+    let output = adapter(&input);
+    let said = String::from_utf8(output.stdout).expect("text");
+    assert!(output.status.success());
+    assert!(said.contains("TRANSMIT 11 5 1100.000"), "{said}");
+    assert!(said.contains("FOR proxy-2\n") && said.contains("DECLINE 12 0.000"), "{said}");
+    assert!(said.ends_with("EOR 1\n"), "{said}");
+}
+
+#[test]
+fn a_restarted_instance_knows_nothing_of_its_former_life() {
+    let input = format!(
+        "BATCH 1000 1\n{}{}OVER_TO_YOU\nBATCH 1001 2\nSWITCH_TO p\nKILLED\nPOWER_ON 9 {}\n{}OVER_TO_YOU\n",
+        start("p", ""),
+        submit(1),
+        settings(""),
+        submit(2),
+    );
+    let said = String::from_utf8(adapter(&input).stdout).expect("text");
+    assert!(said.contains("TRANSMIT 1 5") && said.contains("DECLINE 2"), "{said}");
+}
+
+#[test]
+fn malformed_input_names_its_line_and_cause() {
+    let head = format!("BATCH 1000 1\n{}", start("p", ""));
+    fails("HELLO\n", 1, "expected BATCH");
+    fails("BATCH x 1\n", 1, "not a number");
+    fails(&format!("{head}NONSENSE 1\n"), 7, "unknown event");
+    fails(&format!("{head}SUBMIT 1 - 0 - b 400 -\n"), 7, "unknown class");
+    fails(&format!("{head}SUBMIT 1 - 0 - a\n"), 7, "a value is missing");
+    fails(&format!("{head}RESOLVED 1 0 5 MAYBE 1 0 -\n"), 7, "unknown outcome");
+    fails(&format!("{head}HEARD 1 0x\n"), 7, "not hex");
+    fails(&format!("{head}DUE 1 2\n"), 7, "a value too many");
+    fails(&head, 6, "ended inside a batch");
+    fails("BATCH 1 1\nDUE 1\n", 2, "no instance");
+    fails("BATCH 1 1\nSWITCH_TO p\nPOWER_ON 1 {\n", 3, "bad settings");
+    fails(&format!("BATCH 1 1\n{}", start("p", r#","contract":{"cold_from":-1}"#)), 3, "unusable settings");
+}
--- /dev/null
+++ b/tests/common/mod.rs
@@ -0,0 +1,94 @@
+//! A balancer with a clock, for tests through the public interface.
+#![allow(dead_code)]
+use whinpond::interface::*;
+use whinpond::Balancer;
+
+/// One class that may be repeated, one tier, one balancer.
+pub fn settings() -> Settings {
+    let class = Class { aim: 500_000, deadline: 2_000_000, gain: 1.0, ..Class::default() };
+    Settings { balancers: 1, tiers: 1, classes: vec![class], max_attempts: 3, ..Settings::default() }
+}
+
+/// A ready server of a zone.
+pub fn server(id: u32, zone: usize) -> BackendEntry {
+    BackendEntry { id: BackendId(id), zone, ..BackendEntry::default() }
+}
+
+/// What a test drives.
+pub struct Proxy {
+    pub balancer: Balancer,
+    pub now: Micros,
+    next: u64,
+    timers: Vec<(Micros, u64)>,
+}
+
+impl Proxy {
+    pub fn new(settings: Settings, servers: &[BackendEntry]) -> Self {
+        Self::seeded(settings, servers, 7)
+    }
+
+    pub fn seeded(settings: Settings, servers: &[BackendEntry], seed: u64) -> Self {
+        let mut proxy =
+            Proxy { balancer: Balancer::new(settings, seed), now: 1_000_000, next: 0, timers: Vec::new() };
+        proxy.tell(Event::Backends { scope: ListScope::Cached, entries: servers });
+        proxy
+    }
+
+    /// Hands an event over; timers asked for are kept and not returned.
+    pub fn tell(&mut self, event: Event<'_>) -> Vec<Action> {
+        let mut out = Vec::new();
+        self.balancer.handle(self.now, event, &mut out);
+        for action in &out {
+            if let Action::Timer { at, token } = action {
+                self.timers.push((*at, *token));
+            }
+        }
+        out.retain(|a| !matches!(a, Action::Timer { .. }));
+        out
+    }
+
+    /// Moves the clock on, and the timers with it.
+    pub fn wait(&mut self, time: Micros) -> Vec<Action> {
+        let (end, mut out) = (self.now + time, Vec::new());
+        while let Some(&(at, token)) = self.timers.iter().filter(|(at, _)| *at <= end).min() {
+            self.timers.retain(|t| *t != (at, token));
+            self.now = self.now.max(at);
+            out.extend(self.tell(Event::Timer(token)));
+        }
+        self.now = end;
+        out
+    }
+
+    /// A request of a class with two seconds to go, and what was done about it.
+    pub fn request(&mut self, class: usize) -> (RequestId, Vec<Action>) {
+        self.next += 1;
+        let id = RequestId(self.next);
+        let request = NewRequest { id, class, time_left: 2_000_000, ..NewRequest::default() };
+        (id, self.tell(Event::Request(request)))
+    }
+
+    pub fn outcome(
+        &mut self,
+        request: RequestId,
+        attempt: usize,
+        backend: BackendId,
+        outcome: Outcome,
+        took: Micros,
+    ) -> Vec<Action> {
+        let is_final = outcome == Outcome::Ok;
+        self.tell(Event::Outcome { request, attempt, backend, outcome, took, is_final, report: None })
+    }
+}
+
+/// Where the actions send a request.
+pub fn sent(actions: &[Action]) -> Vec<BackendId> {
+    let to = |a: &Action| match a {
+        Action::Send { backend, .. } => Some(*backend),
+        _ => None,
+    };
+    actions.iter().filter_map(to).collect()
+}
+
+pub fn refused(actions: &[Action]) -> bool {
+    actions.iter().any(|a| matches!(a, Action::Refuse { .. }))
+}
--- /dev/null
+++ b/tests/rules.rs
@@ -0,0 +1,387 @@
+//! The four rules over arbitrary orders of events, with fixed seeds: a model of the wire plays against the
+//! balancer and checks every action.
+mod common;
+use std::collections::BTreeMap;
+
+use common::server;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+use whinpond::interface::*;
+use whinpond::Balancer;
+
+const WINDOW: Micros = 300_000;
+
+fn classes() -> Vec<Class> {
+    let class =
+        |semantics| Class { aim: 400_000, deadline: 2_000_000, gain: 1.0, late_value: 0.3, semantics };
+    let mut all = vec![class(Semantics::Idempotent), class(Semantics::AtMostOnce)];
+    for group in [Group::All, Group::Zone, Group::Cell] {
+        all.push(class(Semantics::Deduplicated { group, window: WINDOW }));
+    }
+    all
+}
+
+struct Attempt {
+    server: BackendId,
+    sent: Micros,
+    until: Micros,
+    running: bool,
+    may_have_run: bool,
+}
+
+struct Held {
+    class: usize,
+    deadline: Micros,
+    streaming: bool,
+    attempts: Vec<Attempt>,
+}
+
+struct World {
+    settings: Settings,
+    balancer: Balancer,
+    now: Micros,
+    listed: BTreeMap<u32, BackendEntry>,
+    held: BTreeMap<RequestId, Held>,
+    ended: BTreeMap<RequestId, Vec<BackendId>>,
+    timers: Vec<(Micros, u64)>,
+    next: u64,
+}
+
+impl World {
+    fn new(settings: Settings, seed: u64) -> Self {
+        World {
+            balancer: Balancer::new(settings.clone(), seed),
+            settings,
+            now: 5_000_000,
+            listed: BTreeMap::new(),
+            held: BTreeMap::new(),
+            ended: BTreeMap::new(),
+            timers: Vec::new(),
+            next: 0,
+        }
+    }
+
+    fn tell(&mut self, event: Event<'_>) {
+        let mut out = Vec::new();
+        self.balancer.handle(self.now, event, &mut out);
+        for action in out {
+            self.act(action);
+        }
+        for (id, held) in &self.held {
+            let waits = held.streaming || held.attempts.iter().any(|a| a.running);
+            assert!(waits, "{id:?} is held with nothing out for it");
+        }
+    }
+
+    fn act(&mut self, action: Action) {
+        match action {
+            Action::Send { request, backend, until } => {
+                let held = self.held.get_mut(&request).expect("sent for a request that is not held");
+                let entry = &self.listed[&backend.0];
+                assert_eq!(entry.stage, Stage::Ready, "sent to a server that drains or is gone");
+                assert!(!held.streaming && until <= held.deadline && until > self.now);
+                assert!(held.attempts.len() < self.settings.max_attempts);
+                let running = held.attempts.iter().any(|a| a.running);
+                assert!(self.settings.second_copies || !running, "two at once");
+                for earlier in held.attempts.iter().filter(|a| a.running || a.may_have_run) {
+                    let other = &self.listed[&earlier.server.0];
+                    match self.settings.classes[held.class].semantics {
+                        Semantics::Idempotent => {}
+                        Semantics::AtMostOnce => panic!("sent again though it may have run"),
+                        Semantics::Deduplicated { group, window } => {
+                            assert!(self.now < earlier.sent + window, "after its window");
+                            assert!(match group {
+                                Group::All => true,
+                                Group::Zone => other.zone == entry.zone,
+                                Group::Cell => other.cell.is_some() && other.cell == entry.cell,
+                            });
+                        }
+                    }
+                }
+                held.attempts.push(Attempt {
+                    server: backend,
+                    sent: self.now,
+                    until,
+                    running: true,
+                    may_have_run: true,
+                });
+            }
+            Action::Refuse { request, .. } => {
+                let held = self.held.remove(&request).expect("a second answer");
+                let may_have_run = held.attempts.iter().any(|a| a.running || a.may_have_run);
+                match self.settings.classes[held.class].semantics {
+                    Semantics::Idempotent | Semantics::Deduplicated { group: Group::All, .. } => {}
+                    _ => assert!(!may_have_run, "refused though it may have run"),
+                }
+                self.end(request, &held);
+            }
+            Action::Fail(request) => {
+                let held = self.held.remove(&request).expect("a second answer");
+                self.end(request, &held);
+            }
+            Action::Cancel { request, attempt } => {
+                assert!(self.settings.can_cancel);
+                let known = self.ended.get(&request).map(Vec::len);
+                let known = known.or(self.held.get(&request).map(|h| h.attempts.len()));
+                assert!(known.is_some_and(|n| attempt < n), "cancelled what was never sent");
+            }
+            Action::Timer { at, token } => self.timers.push((at, token)),
+            Action::Probe(_) | Action::Subscribe | Action::Log(_) => {}
+            Action::Tell { to, payload } => {
+                assert!(self.settings.peers && to != self.settings.rank && to < self.settings.balancers);
+                assert!(payload.len() <= 256);
+            }
+        }
+    }
+
+    fn end(&mut self, request: RequestId, held: &Held) {
+        self.ended.insert(request, held.attempts.iter().map(|a| a.server).collect());
+    }
+
+    fn request(&mut self, a: u32, b: u32) {
+        self.next += 1;
+        let class = a as usize % self.settings.classes.len();
+        let id = RequestId(self.next);
+        let time_left = Micros::from(b % 2_000_000);
+        self.held
+            .insert(id, Held { class, deadline: self.now + time_left, streaming: false, attempts: vec![] });
+        self.tell(Event::Request(NewRequest { id, class, time_left, ..NewRequest::default() }));
+    }
+
+    /// Ends one attempt that is out, or repeats the outcome of a request that is long answered.
+    fn outcome(&mut self, a: u32, outcome: Outcome) {
+        let out: Vec<(RequestId, usize)> = self
+            .held
+            .iter()
+            .flat_map(|(id, h)| h.attempts.iter().enumerate().map(move |(n, a)| (*id, n, a.running)))
+            .filter(|(_, _, running)| *running)
+            .map(|(id, n, _)| (id, n))
+            .collect();
+        let report = Some(Report { queue: Some(f64::from(a % 7)), ..Report::default() });
+        if out.is_empty() || a.is_multiple_of(9) {
+            let Some((id, servers)) = self.ended.iter().nth(a as usize % self.ended.len().max(1)) else {
+                return;
+            };
+            let Some(&backend) = servers.first() else { return };
+            let (request, took) = (*id, 1_000);
+            self.tell(Event::Outcome { request, attempt: 0, backend, outcome, took, is_final: true, report });
+            return;
+        }
+        let (request, attempt) = out[a as usize % out.len()];
+        self.finish_attempt(request, attempt, outcome, report);
+    }
+
+    fn finish_attempt(&mut self, id: RequestId, attempt: usize, outcome: Outcome, report: Option<Report>) {
+        let held = self.held.get_mut(&id).expect("held");
+        let known = &mut held.attempts[attempt];
+        (known.running, known.may_have_run) = (false, !outcome.never_ran());
+        let (backend, took) = (known.server, self.now - known.sent);
+        let is_final = outcome == Outcome::Ok || held.streaming;
+        if is_final {
+            let held = self.held.remove(&id).expect("held");
+            self.end(id, &held);
+        }
+        self.tell(Event::Outcome { request: id, attempt, backend, outcome, took, is_final, report });
+    }
+
+    /// The clock moves on; attempts whose time is up end, and timers fall due.
+    fn wait(&mut self, time: Micros) {
+        self.now += time;
+        loop {
+            let late =
+                |h: &Held| h.attempts.iter().position(|a| a.running && a.until <= self.now && !h.streaming);
+            let Some((id, attempt)) = self.held.iter().find_map(|(id, h)| late(h).map(|n| (*id, n))) else {
+                break;
+            };
+            self.finish_attempt(id, attempt, Outcome::Timeout, None);
+        }
+        let due: Vec<u64> = self.timers.iter().filter(|(at, _)| *at <= self.now).map(|t| t.1).collect();
+        self.timers.retain(|(at, _)| *at > self.now);
+        for token in due {
+            self.tell(Event::Timer(token));
+        }
+        let overdue = self.held.values().filter(|h| !h.streaming && h.deadline < self.now).count();
+        assert_eq!(overdue, 0, "no answer by the deadline");
+    }
+
+    fn list(&mut self, a: u32, b: u32, full: bool) {
+        let count = if full { a % 8 } else { 1 + a % 3 };
+        let entries: Vec<BackendEntry> = (0..count)
+            .map(|i| {
+                let id = if full { i } else { b.wrapping_add(i) % 8 };
+                let stage = match b.wrapping_shr(3 * i) % 5 {
+                    0 => Stage::Draining,
+                    1 if !full => Stage::Gone,
+                    _ => Stage::Ready,
+                };
+                let cell = (id % 3 > 0).then_some(u64::from(id % 3));
+                let up_since = b.is_multiple_of(4).then_some(self.now - 200_000);
+                BackendEntry { stage, cell, up_since, ..server(id, id as usize % 2) }
+            })
+            .collect();
+        if full {
+            self.listed.values_mut().for_each(|e| e.stage = Stage::Gone);
+        }
+        self.listed.extend(entries.iter().map(|e| (e.id.0, e.clone())));
+        let scope = if full { ListScope::Full } else { ListScope::Delta };
+        self.tell(Event::Backends { scope, entries: &entries });
+    }
+
+    fn step(&mut self, (kind, a, b): (u8, u32, u32)) {
+        match kind {
+            0..=5 => self.request(a, b),
+            6 | 7 => self.wait(Micros::from(a % 500_000)),
+            8 => self.outcome(a, Outcome::Ok),
+            9 => self.outcome(a, Outcome::Full),
+            10 => self.outcome(a, Outcome::ConnectFailed),
+            11 => self.outcome(a, Outcome::Error),
+            12 => self.outcome(a, Outcome::Reset),
+            13 => self.list(a, b, false),
+            14 => self.list(a, b, b.is_multiple_of(3)),
+            15 => {
+                let Some((&id, _)) = self.held.iter().nth(a as usize % self.held.len().max(1)) else {
+                    return;
+                };
+                let held = self.held.remove(&id).expect("held");
+                self.end(id, &held);
+                self.tell(Event::ClientGone(id));
+            }
+            16 => {
+                let out = |h: &Held| !h.streaming && h.attempts.iter().filter(|a| a.running).count() == 1;
+                let Some((&request, held)) = self.held.iter_mut().find(|(_, h)| out(h)) else { return };
+                held.streaming = true;
+                self.tell(Event::StreamStarted { request });
+            }
+            17 => {
+                self.tell(Event::Told { from: a % 4, payload: &u64::from(b).to_le_bytes()[..a as usize % 7] })
+            }
+            18 => self.tell(Event::Timer(u64::from(a))),
+            _ => self.tell(Event::Backends { scope: ListScope::Failed, entries: &[] }),
+        }
+    }
+}
+
+fn run(settings: &Settings) {
+    let config = Config { cases: 400, failure_persistence: None, ..Config::default() };
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[7; 32]);
+    let steps = prop::collection::vec((0u8..20, any::<u32>(), any::<u32>()), 1..250);
+    TestRunner::new_with_rng(config, rng)
+        .run(&(steps, any::<u64>()), |(steps, seed)| {
+            let mut world = World::new(settings.clone(), seed);
+            world.list(5, 0x7fff_fffe, true);
+            steps.into_iter().for_each(|step| world.step(step));
+            world.wait(3_000_000);
+            Ok(())
+        })
+        .unwrap_or_else(|e| panic!("{e}"));
+}
+
+fn settings() -> Settings {
+    Settings {
+        balancers: 3,
+        rank: 1,
+        tiers: 2,
+        classes: classes(),
+        max_attempts: 3,
+        second_copies: true,
+        can_cancel: true,
+        tick: 1_000,
+        cold_from: 0.2,
+        cold_time: 5_000_000,
+        fall_multiple: 3.0,
+        fall_time: 2_000_000,
+        must_ask_in: 10_000_000,
+        retry_after: true,
+        max_retry_after: 1_000_000,
+        ..Settings::default()
+    }
+}
+
+#[test]
+fn rules_hold_with_a_pushed_list() {
+    run(&settings());
+}
+
+#[test]
+fn rules_hold_where_balancers_talk_and_copies_are_forbidden() {
+    run(&Settings { peers: true, second_copies: false, can_cancel: false, ..settings() });
+}
+
+#[test]
+fn rules_hold_deep_in_the_chain_with_a_list_that_must_be_asked_for() {
+    run(&Settings { ask_discovery: true, tier: 1, max_attempts: 2, ..settings() });
+}
+
+#[test]
+fn equal_events_give_equal_actions() {
+    let play = || {
+        let mut balancer = Balancer::new(settings(), 11);
+        let servers: Vec<BackendEntry> = (0..20).map(|id| server(id, id as usize % 3)).collect();
+        let mut out = Vec::new();
+        balancer.handle(0, Event::Backends { scope: ListScope::Cached, entries: &servers }, &mut out);
+        for id in 0..300u64 {
+            let request = NewRequest { id: RequestId(id), time_left: 1_000_000, ..NewRequest::default() };
+            balancer.handle(id as Micros * 500, Event::Request(request), &mut out);
+        }
+        out
+    };
+    assert_eq!(play(), play());
+}
+
+#[test]
+fn unusable_settings_and_absurd_figures_never_panic() {
+    let (far, odd) = (Micros::MAX, f64::NAN);
+    let wild = Settings {
+        balancers: 0,
+        rank: 9,
+        tier: 7,
+        classes: vec![Class { aim: far, gain: odd, ..Class::default() }, Class::default()],
+        cross_zone_price: f64::INFINITY,
+        tick: far,
+        cold_time: Micros::MIN,
+        fall_time: far,
+        must_ask_in: far,
+        ask_discovery: true,
+        ..settings()
+    };
+    assert!(wild.check().is_err() && settings().check().is_ok());
+    for settings in [wild, Settings { classes: Vec::new(), ..settings() }, settings()] {
+        let mut balancer = Balancer::new(settings, 3);
+        let mut out = Vec::new();
+        for now in [0, far, Micros::MIN, 0, 5] {
+            let entry = BackendEntry { up_since: Some(far - now.max(0)), ..server(3, usize::MAX) };
+            balancer.handle(now, Event::Backends { scope: ListScope::Delta, entries: &[entry] }, &mut out);
+            for (id, class) in [(1, 0), (1, 0), (2, usize::MAX), (u64::MAX, 1)] {
+                let request = NewRequest {
+                    id: RequestId(id),
+                    class,
+                    time_left: if id == 1 { far } else { -far },
+                    tenant: Some(usize::MAX),
+                    ..NewRequest::default()
+                };
+                balancer.handle(now, Event::Request(request), &mut out);
+            }
+            let report = Report { inflight: Some(odd), utilisation: Some(-1.0), ..Report::default() };
+            for (request, attempt, backend) in [(1, usize::MAX, 3), (77, 0, 99), (1, 0, 3)] {
+                balancer.handle(
+                    now,
+                    Event::Outcome {
+                        request: RequestId(request),
+                        attempt,
+                        backend: BackendId(backend),
+                        outcome: Outcome::Reset,
+                        took: Micros::MIN,
+                        is_final: false,
+                        report: Some(report),
+                    },
+                    &mut out,
+                );
+            }
+            balancer.handle(now, Event::Timer(0), &mut out);
+        }
+        // The request of an unknown class got its one answer, each time it came.
+        let answers =
+            |id| out.iter().filter(move |a| matches!(a, Action::Refuse { request, .. } if request.0 == id));
+        assert_eq!(answers(2).count(), 5);
+    }
+}
