--- a/src/bin/whinpond-benchlink/main.rs
+++ b/src/bin/amberlever-adapter/main.rs
@@ -14,7 +14,7 @@
     match wire::run(input, output) {
         Ok(()) => ExitCode::SUCCESS,
         Err(fault) => {
-            eprintln!("whinpond-benchlink: {fault}");
+            eprintln!("amberlever-adapter: {fault}");
             ExitCode::FAILURE
         }
     }
--- a/src/bin/whinpond-benchlink/wire.rs
+++ b/src/bin/amberlever-adapter/wire.rs
@@ -6,9 +6,9 @@
 use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::str::{FromStr, Split};
 
+use amberlever::interface::*;
+use amberlever::Balancer;
 use serde::Deserialize;
-use whinpond::interface::*;
-use whinpond::Balancer;
 
 /// Why the adapter stopped.
 #[derive(Debug)]
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,8 +6,8 @@
 //! A proxy's life, with one server and one request:
 //!
 //! ```
-//! use whinpond::interface::*;
-//! use whinpond::Balancer;
+//! use amberlever::interface::*;
+//! use amberlever::Balancer;
 //!
 //! let class = Class { aim: 500_000, deadline: 2_000_000, gain: 1.0, ..Class::default() };
 //! let settings =
--- a/tests/adapter.rs
+++ b/tests/adapter.rs
@@ -3,7 +3,7 @@
 use std::process::{Command, Output, Stdio};
 
 fn adapter(input: &str) -> Output {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_whinpond-benchlink"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_amberlever-adapter"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -3,11 +3,11 @@
 mod common;
 use std::collections::BTreeMap;
 
+use amberlever::interface::*;
+use amberlever::Balancer;
 use common::server;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
-use whinpond::interface::*;
-use whinpond::Balancer;
 
 const WINDOW: Micros = 300_000;
 
