Add the real proxy: the decisions on real sockets

settings.rs takes the parse of the settings over from the adapter, for both programs. The proxy (src/bin/amberlever) drives the Balancer on tokio's current-thread runtime with hyper 1 connections: server for callers, backend for connections, attempts and outcome classes, discovery for the list and its watch, driver between them and the decisions.

--- a/src/bin/amberlever-adapter/wire.rs
+++ b/src/bin/amberlever-adapter/wire.rs
@@ -1,4 +1,4 @@
-//! The wire of the simulator: lines to events, actions to lines, settings from JSON.
+//! The wire of the simulator: lines to events, actions to lines, settings by `amberlever::settings`.
 
 use std::collections::BTreeMap;
 use std::fmt;
@@ -7,8 +7,8 @@
 use std::str::{FromStr, Split};
 
 use amberlever::interface::*;
+use amberlever::settings::{self, micros, Names, Site};
 use amberlever::Balancer;
-use serde::Deserialize;
 
 /// Why the adapter stopped.
 #[derive(Debug)]
@@ -43,22 +43,7 @@
 /// The names a running instance needs to read its events.
 struct Instance {
     balancer: Balancer,
-    classes: Vec<String>,
-    tenants: Vec<String>,
-    zones: Vec<String>,
-    kinds: Vec<String>,
-    fields: Vec<Field>,
-}
-
-#[derive(Clone, Copy)]
-enum Field {
-    Inflight,
-    Queue,
-    Utilisation,
-    Service,
-    Rate,
-    Errors,
-    Unknown,
+    names: Names,
 }
 
 /// A list entry with its names unresolved: lists serve the whole process, names belong to an instance.
@@ -192,10 +177,6 @@
     }
 }
 
-fn micros(ms: f64) -> Micros {
-    (ms * 1000.0).round() as Micros
-}
-
 fn pool_head(rest: &str) -> Result<(u32, u64), String> {
     let mut parts = Parts::new(rest);
     let head = (parts.number()?, parts.number()?);
@@ -250,38 +231,16 @@
     })
 }
 
-/// The index of a name; a name that the settings left out gets the next one.
-fn intern(names: &mut Vec<String>, name: &str) -> usize {
-    names.iter().position(|n| n == name).unwrap_or_else(|| {
-        names.push(name.to_owned());
-        names.len() - 1
-    })
-}
-
 impl Instance {
     fn report(&self, word: &str) -> Result<Option<Report>, String> {
         if word == "-" {
             return Ok(None);
         }
         let mut report = Report::default();
-        for (value, field) in word.split(',').zip(&self.fields) {
-            let value = match value {
-                "-" | "" => continue,
-                v => Some(
-                    v.parse::<f64>()
-                        .ok()
-                        .filter(|x| x.is_finite())
-                        .ok_or(format!("not a load report: {word}"))?,
-                ),
-            };
-            match field {
-                Field::Inflight => report.inflight = value,
-                Field::Queue => report.queue = value,
-                Field::Utilisation => report.utilisation = value,
-                Field::Service => report.service_ms = value,
-                Field::Rate => report.rate = value,
-                Field::Errors => report.errors = value,
-                Field::Unknown => {}
+        for (value, field) in word.split(',').zip(&self.names.fields) {
+            if !matches!(value, "-" | "") {
+                let value = value.parse::<f64>().ok().filter(|x| x.is_finite());
+                field.store(&mut report, value.ok_or(format!("not a load report: {word}"))?);
             }
         }
         Ok(Some(report))
@@ -327,8 +286,8 @@
                 if scope != ListScope::Failed {
                     let pool = sheet.and_then(|s| self.pools.get(&s)).ok_or("no such POOL")?;
                     entries.extend(pool.iter().map(|l| BackendEntry {
-                        zone: intern(&mut instance.zones, &l.zone),
-                        kind: intern(&mut instance.kinds, &l.kind),
+                        zone: instance.names.zone(&l.zone),
+                        kind: instance.names.kind(&l.kind),
                         ..l.entry.clone()
                     }));
                 }
@@ -340,17 +299,13 @@
                 let marks: u64 = parts.optional()?.unwrap_or(0);
                 parts.word()?;
                 let class = parts.word()?;
-                let class = instance
-                    .classes
-                    .iter()
-                    .position(|c| c == class)
-                    .ok_or(format!("unknown class {class}"))?;
+                let class = instance.names.class(class).ok_or(format!("unknown class {class}"))?;
                 let time_left = parts.time()?;
                 let tenant = parts.word()?;
                 Event::Request(NewRequest {
                     id,
                     class,
-                    tenant: instance.tenants.iter().position(|t| t == tenant),
+                    tenant: instance.names.tenant(tenant),
                     time_left,
                     work: work.filter(|w| marks & 1 != 0 && w.is_finite() && *w > 0.0).map(micros),
                     is_retry: marks & 2 != 0,
@@ -452,149 +407,7 @@
     }
 }
 
-#[derive(Deserialize, Default)]
-#[serde(default)]
-struct Config {
-    balancers: u32,
-    rank: u32,
-    stage: usize,
-    stages: Vec<String>,
-    my_zone: String,
-    zones: Vec<String>,
-    host_types: Vec<String>,
-    request_classes: Vec<ClassConfig>,
-    tenants: Vec<TenantConfig>,
-    discovery: String,
-    tick_ms: f64,
-    penalties: PenaltyConfig,
-    limits: LimitConfig,
-    contract: ContractConfig,
-    telemetry: TelemetryConfig,
-}
-
-#[derive(Deserialize, Default)]
-#[serde(default)]
-struct ClassConfig {
-    name: String,
-    promise_ms: f64,
-    deadline_ms: f64,
-    semantics: String,
-    group: String,
-    dedup_window_ms: f64,
-    gain: f64,
-    late_value: f64,
-}
-
-#[derive(Deserialize, Default)]
-#[serde(default)]
-struct TenantConfig {
-    name: String,
-    quota_per_s: f64,
-}
-
-#[derive(Deserialize, Default)]
-#[serde(default)]
-struct PenaltyConfig {
-    cross_zone: f64,
-}
-
-#[derive(Deserialize, Default)]
-#[serde(default)]
-struct LimitConfig {
-    cancel: bool,
-    max_attempts: usize,
-    max_retry_after_ms: f64,
-    peers: bool,
-    probes: bool,
-    retry_after: bool,
-    second_copies: bool,
-}
-
-#[derive(Deserialize, Default)]
-#[serde(default)]
-struct ContractConfig {
-    cold_from: f64,
-    cold_ms: f64,
-    fall_multiple: f64,
-    fall_ms: f64,
-    must_ask_in_ms: f64,
-}
-
-#[derive(Deserialize, Default)]
-#[serde(default)]
-struct TelemetryConfig {
-    fields: Vec<String>,
-}
-
-fn semantics(class: &ClassConfig) -> Result<Semantics, String> {
-    Ok(match class.semantics.as_str() {
-        "idempotent" => Semantics::Idempotent,
-        "at_most_once" => Semantics::AtMostOnce,
-        "deduplicated" => Semantics::Deduplicated {
-            group: match class.group.as_str() {
-                "all" => Group::All,
-                "zone" => Group::Zone,
-                "cell" => Group::Cell,
-                other => return Err(format!("unknown group {other:?}")),
-            },
-            window: micros(class.dedup_window_ms),
-        },
-        other => return Err(format!("unknown semantics {other:?}")),
-    })
-}
-
 fn start(seed: u64, config: &str) -> Result<Instance, String> {
-    let c: Config = serde_json::from_str(config).map_err(|e| format!("bad settings: {e}"))?;
-    let mut zones = c.zones;
-    let classes = c.request_classes.iter().map(|k| {
-        Ok(Class {
-            aim: micros(k.promise_ms),
-            deadline: micros(k.deadline_ms),
-            gain: k.gain,
-            late_value: k.late_value,
-            semantics: semantics(k)?,
-        })
-    });
-    let settings = Settings {
-        balancers: c.balancers,
-        rank: c.rank,
-        tier: c.stage,
-        tiers: c.stages.len(),
-        zone: intern(&mut zones, &c.my_zone),
-        classes: classes.collect::<Result<_, String>>()?,
-        tenants: c.tenants.iter().map(|t| Tenant { quota_per_s: t.quota_per_s }).collect(),
-        cross_zone_price: c.penalties.cross_zone,
-        ask_discovery: c.discovery == "on_request",
-        must_ask_in: micros(c.contract.must_ask_in_ms),
-        can_cancel: c.limits.cancel,
-        second_copies: c.limits.second_copies,
-        can_probe: c.limits.probes,
-        peers: c.limits.peers,
-        retry_after: c.limits.retry_after,
-        max_retry_after: micros(c.limits.max_retry_after_ms),
-        max_attempts: c.limits.max_attempts,
-        tick: micros(c.tick_ms),
-        cold_from: c.contract.cold_from,
-        cold_time: micros(c.contract.cold_ms),
-        fall_multiple: c.contract.fall_multiple,
-        fall_time: micros(c.contract.fall_ms),
-    };
-    settings.check().map_err(|e| format!("unusable settings: {e}"))?;
-    let fields = c.telemetry.fields.iter().map(|f| match f.as_str() {
-        "concurrent" => Field::Inflight,
-        "depth" => Field::Queue,
-        "load_share" => Field::Utilisation,
-        "mean_ms" => Field::Service,
-        "tps" => Field::Rate,
-        "err_ps" => Field::Errors,
-        _ => Field::Unknown,
-    });
-    Ok(Instance {
-        fields: fields.collect(),
-        classes: c.request_classes.into_iter().map(|k| k.name).collect(),
-        tenants: c.tenants.into_iter().map(|t| t.name).collect(),
-        zones,
-        kinds: c.host_types,
-        balancer: Balancer::new(settings, seed),
-    })
+    let Site { settings, names, .. } = settings::parse(config)?;
+    Ok(Instance { balancer: Balancer::new(settings, seed), names })
 }
--- /dev/null
+++ b/src/bin/amberlever/backend.rs
@@ -0,0 +1,363 @@
+//! Backends: connections, attempts and probes, and what their outcomes prove.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use amberlever::interface::*;
+use amberlever::settings::{Field, Transport};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper::header::{self, HeaderValue};
+use hyper::{Method, Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+use tokio::task::{spawn_local, AbortHandle};
+use tokio::time::{timeout_at, Instant};
+
+use crate::driver::{Driver, Ended, Ending, Message};
+use crate::server::{self, MOST_BODY};
+use crate::socket::{Socket, Unread};
+
+/// The part of the backends' keep-alive time for which an idle connection is kept: well before the backend
+/// closes it, so that no request crosses the closing.
+const KEPT_IDLE: f64 = 0.75;
+/// The last part of the drain grace in which nothing is begun.
+const DRAIN_MARGIN: Duration = Duration::from_millis(150);
+/// How long a probe may take once it is connected.
+const PROBE_TIME: Duration = Duration::from_secs(1);
+
+pub const LOAD_HEADER: &str = "x-server-load";
+const NOT_PROCESSED: &str = "x-not-processed";
+
+/// An attempt to make.
+pub struct Order {
+    pub request: RequestId,
+    pub backend: BackendId,
+    pub message: Rc<Message>,
+    pub until: Instant,
+}
+
+pub struct Backends {
+    transport: Transport,
+    most_links: usize,
+    links: Rc<Cell<usize>>,
+    all: Rc<RefCell<BTreeMap<BackendId, Backend>>>,
+    complained: Cell<bool>,
+}
+
+struct Backend {
+    entry: BackendEntry,
+    address: SocketAddr,
+    /// When it was said to drain or to be gone.
+    left: Option<Instant>,
+    /// The one used last stands last.
+    idle: Vec<Idle>,
+}
+
+struct Idle {
+    link: Link,
+    since: Instant,
+}
+
+/// A connection. Dropping it closes it.
+struct Link {
+    sender: SendRequest<Full<Bytes>>,
+    socket: Socket,
+    task: AbortHandle,
+}
+
+impl Drop for Link {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+impl Link {
+    fn is_usable(&self) -> bool {
+        // The kernel knows of a closure before the connection's task does.
+        self.sender.is_ready() && self.socket.unread() == Unread::Nothing
+    }
+}
+
+/// Counts an open socket for as long as it lives.
+struct Slot(Rc<Cell<usize>>);
+
+impl Slot {
+    fn new(count: &Rc<Cell<usize>>) -> Slot {
+        count.set(count.get() + 1);
+        Slot(Rc::clone(count))
+    }
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+impl Backends {
+    pub fn new(transport: Transport, most_links: usize) -> Backends {
+        Backends {
+            transport,
+            most_links,
+            links: Rc::default(),
+            all: Rc::default(),
+            complained: Cell::new(false),
+        }
+    }
+
+    fn kept_idle(&self) -> Duration {
+        Duration::from_micros((self.transport.keepalive as f64 * KEPT_IDLE) as u64)
+    }
+
+    /// Closes idle connections when their time is up.
+    pub fn sweep_regularly(&self) {
+        let (all, kept) = (Rc::clone(&self.all), self.kept_idle());
+        let pause = (kept / 10).clamp(Duration::from_millis(10), Duration::from_secs(1));
+        spawn_local(async move {
+            loop {
+                tokio::time::sleep(pause).await;
+                for backend in all.borrow_mut().values_mut() {
+                    backend.idle.retain(|i| i.since.elapsed() < kept && i.link.sender.is_ready());
+                }
+            }
+        });
+    }
+
+    // ---- The list ----
+
+    /// Takes in what discovery says of one backend.
+    pub fn update(&self, entry: &BackendEntry, address: SocketAddr) {
+        let mut all = self.all.borrow_mut();
+        let backend = all.entry(entry.id).or_insert_with(|| Backend {
+            entry: entry.clone(),
+            address,
+            left: None,
+            idle: Vec::new(),
+        });
+        if backend.address != address || backend.entry.up_since != entry.up_since {
+            // Another process, or another way to it.
+            backend.idle.clear();
+        }
+        backend.address = address;
+        backend.entry = entry.clone();
+        if entry.stage == Stage::Ready {
+            backend.left = None;
+        } else {
+            backend.left.get_or_insert_with(Instant::now);
+            backend.idle.clear();
+        }
+    }
+
+    /// What a whole list leaves out is gone.
+    pub fn retain(&self, listed: impl Fn(BackendId) -> bool) {
+        for (id, backend) in self.all.borrow_mut().iter_mut() {
+            if !listed(*id) {
+                backend.entry.stage = Stage::Gone;
+                backend.left.get_or_insert_with(Instant::now);
+                backend.idle.clear();
+            }
+        }
+    }
+
+    pub fn entries(&self) -> Vec<BackendEntry> {
+        let all = self.all.borrow();
+        all.values().filter(|b| b.entry.stage != Stage::Gone).map(|b| b.entry.clone()).collect()
+    }
+
+    // ---- Connections ----
+
+    fn idle(&self, id: BackendId) -> Option<Link> {
+        let kept = self.kept_idle();
+        let mut all = self.all.borrow_mut();
+        let backend = all.get_mut(&id)?;
+        while let Some(Idle { link, since }) = backend.idle.pop() {
+            if since.elapsed() < kept && link.is_usable() {
+                return Some(link);
+            }
+        }
+        None
+    }
+
+    fn keep(&self, id: BackendId, link: Link) {
+        if let Some(backend) = self.all.borrow_mut().get_mut(&id).filter(|b| b.left.is_none()) {
+            backend.idle.push(Idle { link, since: Instant::now() });
+        }
+    }
+
+    /// A new connection; None where none came up.
+    async fn connect(&self, id: BackendId) -> Option<Link> {
+        let address = self.all.borrow().get(&id)?.address;
+        if self.links.get() >= self.most_links && !self.close_oldest_idle() {
+            if !self.complained.replace(true) {
+                eprintln!("all {} sockets for backends are in use", self.most_links);
+            }
+            return None;
+        }
+        let slot = Slot::new(&self.links);
+        let limit = Instant::now() + Duration::from_micros(self.transport.connect_timeout as u64);
+        let stream = timeout_at(limit, TcpStream::connect(address)).await.ok()?.ok()?;
+        let socket = Socket::new(stream);
+        let (sender, connection) = http1::handshake(TokioIo::new(socket.clone())).await.ok()?;
+        let task = spawn_local(async move {
+            let _slot = slot;
+            // An error here ends the request on it as well, and is seen there.
+            let _ = connection.await;
+        });
+        Some(Link { sender, socket, task: task.abort_handle() })
+    }
+
+    fn close_oldest_idle(&self) -> bool {
+        let mut all = self.all.borrow_mut();
+        let oldest =
+            all.values_mut().filter(|b| !b.idle.is_empty()).min_by_key(|b| b.idle[0].since.elapsed());
+        oldest.map(|b| b.idle.remove(0)).is_some()
+    }
+
+    /// May something still be sent there?
+    fn may_write(&self, id: BackendId) -> bool {
+        let grace = Duration::from_micros(self.transport.drain_grace as u64);
+        let left = self.all.borrow().get(&id).map(|b| b.left);
+        left.is_some_and(|left| left.is_none_or(|at| at.elapsed() + DRAIN_MARGIN < grace))
+    }
+
+    // ---- Attempts ----
+
+    pub async fn attempt(&self, driver: &Driver, order: Order, mut ending: Ending) {
+        let written = Cell::new(false);
+        let result = timeout_at(order.until, self.exchange(driver, &order, &written)).await;
+        match result {
+            Ok((ended, link)) => {
+                ending.say(ended);
+                self.reuse(order.backend, link).await;
+            }
+            // Nothing was sent, so nothing ran: the time went in connecting.
+            Err(_) if !written.get() => ending.say(Outcome::Moot.into()),
+            Err(_) => ending.say(Outcome::Timeout.into()),
+        }
+    }
+
+    /// Waits until a connection is free for the next request.
+    async fn reuse(&self, id: BackendId, link: Option<Link>) {
+        if let Some(mut link) = link {
+            if link.sender.ready().await.is_ok() {
+                self.keep(id, link);
+            }
+        }
+    }
+
+    async fn exchange(&self, driver: &Driver, order: &Order, written: &Cell<bool>) -> (Ended, Option<Link>) {
+        loop {
+            let idle = self.idle(order.backend);
+            let fresh = idle.is_none();
+            let link = match idle {
+                Some(link) => Some(link),
+                None => self.connect(order.backend).await,
+            };
+            let Some(mut link) = link else { return (Outcome::ConnectFailed.into(), None) };
+            // Connecting took time: look again before anything is written.
+            let left = order.until.saturating_duration_since(Instant::now());
+            if left.is_zero() || !driver.is_open(order.request) || !self.may_write(order.backend) {
+                self.keep(order.backend, link);
+                return (Outcome::Moot.into(), None);
+            }
+            let mut message = (*order.message).clone();
+            let left = HeaderValue::from(left.as_millis().max(1) as u64);
+            message.headers_mut().insert(server::TIMEOUT, left);
+            written.set(true);
+            let response = match link.sender.try_send_request(message).await {
+                Ok(response) => response,
+                Err(mut e) => {
+                    if e.take_message().is_none() {
+                        return (Outcome::Reset.into(), None);
+                    }
+                    // Given back unsent: an idle connection had just closed, and the next may serve.
+                    written.set(false);
+                    if fresh {
+                        return (Outcome::ConnectFailed.into(), None);
+                    }
+                    continue;
+                }
+            };
+            return self.read(driver, response, link).await;
+        }
+    }
+
+    async fn read(
+        &self,
+        driver: &Driver,
+        response: Response<hyper::body::Incoming>,
+        link: Link,
+    ) -> (Ended, Option<Link>) {
+        let (head, body) = response.into_parts();
+        let report = head.headers.get(LOAD_HEADER).and_then(|v| self.report(driver, v.as_bytes()));
+        let turned_away = head.headers.get(NOT_PROCESSED).is_some_and(|v| v == "1");
+        let body = Limited::new(body, MOST_BODY).collect().await;
+        let outcome = match head.status {
+            StatusCode::OK if body.is_err() => Outcome::Reset,
+            StatusCode::OK => Outcome::Ok,
+            StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if turned_away => Outcome::Full,
+            _ => Outcome::Error,
+        };
+        match body {
+            Ok(body) => {
+                let mut answer = None;
+                if outcome == Outcome::Ok {
+                    let mut headers = head.headers;
+                    server::remove_hop_by_hop(&mut headers);
+                    headers.remove(LOAD_HEADER);
+                    answer = Some((headers, body.to_bytes()));
+                }
+                (Ended { outcome, report, answer }, Some(link))
+            }
+            Err(_) => (Ended { outcome, report, answer: None }, None),
+        }
+    }
+
+    /// A load report: an object of numbers. A malformed one is passed over.
+    fn report(&self, _driver: &Driver, json: &[u8]) -> Option<Report> {
+        let Ok(values) = serde_json::from_slice::<BTreeMap<String, f64>>(json) else {
+            if !self.complained.replace(true) {
+                eprintln!("passing over a malformed load report: {:?}", String::from_utf8_lossy(json));
+            }
+            return None;
+        };
+        let mut report = Report::default();
+        for (name, value) in values {
+            Field::named(&name).store(&mut report, value);
+        }
+        Some(report)
+    }
+
+    pub async fn probe(&self, driver: &Driver, id: BackendId) -> Ended {
+        let Some(mut link) = self.connect(id).await else { return Outcome::ConnectFailed.into() };
+        let mut request = Request::new(Full::default());
+        *request.method_mut() = Method::GET;
+        *request.uri_mut() = hyper::Uri::from_static("/load");
+        request.headers_mut().insert(header::HOST, HeaderValue::from_static("backend"));
+        let exchange = async {
+            let Ok(response) = link.sender.send_request(request).await else {
+                return Ended::from(Outcome::Reset);
+            };
+            let status = response.status();
+            let header = response.headers().get(LOAD_HEADER).cloned();
+            let Ok(body) = Limited::new(response.into_body(), MOST_BODY).collect().await else {
+                return Outcome::Reset.into();
+            };
+            let body = body.to_bytes();
+            let json = header.as_ref().map_or(&body[..], HeaderValue::as_bytes);
+            let outcome = match status {
+                StatusCode::OK => Outcome::Ok,
+                StatusCode::SERVICE_UNAVAILABLE => Outcome::Full,
+                _ => Outcome::Error,
+            };
+            Ended { outcome, report: self.report(driver, json), answer: None }
+        };
+        let limit = Instant::now() + PROBE_TIME;
+        timeout_at(limit, exchange).await.unwrap_or_else(|_| Outcome::Timeout.into())
+    }
+}
--- /dev/null
+++ b/src/bin/amberlever/config.rs
@@ -0,0 +1,74 @@
+//! What a proxy is told at its start: the JSON file that `LB_CONFIG` names.
+
+use std::net::SocketAddr;
+
+use amberlever::settings::{self, Site};
+use serde::Deserialize;
+use serde_json::value::RawValue;
+
+use crate::discovery::HostList;
+
+/// Descriptors kept free for the listener, discovery, the runtime and standard streams, with some to spare.
+const RESERVED_SOCKETS: usize = 48;
+/// With fewer than this for callers and backends no proxy is of use.
+const LEAST_SOCKETS: usize = 16;
+
+pub struct Config {
+    pub listen: SocketAddr,
+    pub discovery: SocketAddr,
+    pub seed: u64,
+    /// Sockets for callers and backends together.
+    pub sockets: usize,
+    pub known: Option<HostList>,
+    pub site: Site,
+}
+
+#[derive(Deserialize)]
+struct File<'a> {
+    listen: SocketAddr,
+    discovery: SocketAddr,
+    seed: String,
+    #[serde(default)]
+    limits: Limits,
+    known: Option<HostList>,
+    #[serde(borrow)]
+    settings: &'a RawValue,
+}
+
+#[derive(Deserialize)]
+#[serde(default)]
+struct Limits {
+    sockets: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Limits { sockets: 1024 }
+    }
+}
+
+impl Config {
+    pub fn from_env() -> Result<Config, String> {
+        let path = std::env::var_os("LB_CONFIG").ok_or("LB_CONFIG does not name a configuration file")?;
+        let shown = path.to_string_lossy().into_owned();
+        let text = std::fs::read_to_string(&path).map_err(|e| format!("cannot read {shown}: {e}"))?;
+        Config::parse(&text).map_err(|e| format!("{shown}: {e}"))
+    }
+
+    fn parse(text: &str) -> Result<Config, String> {
+        let file: File = serde_json::from_str(text).map_err(|e| format!("bad configuration: {e}"))?;
+        let sockets = file.limits.sockets.saturating_sub(RESERVED_SOCKETS);
+        if sockets < LEAST_SOCKETS {
+            return Err(format!("limits.sockets: too few to serve with: {}", file.limits.sockets));
+        }
+        Ok(Config {
+            listen: file.listen,
+            discovery: file.discovery,
+            seed: u64::from_str_radix(&file.seed, 16)
+                .map_err(|_| format!("seed: not a 64-bit number in hex digits: {:?}", file.seed))?,
+            sockets,
+            known: file.known,
+            site: settings::parse(file.settings.get())?,
+        })
+    }
+}
--- /dev/null
+++ b/src/bin/amberlever/server.rs
@@ -0,0 +1,313 @@
+//! Callers: their connections, their requests, and the answers they get.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::convert::Infallible;
+use std::future::Future;
+use std::pin::pin;
+use std::rc::Rc;
+use std::time::Duration;
+
+use amberlever::interface::*;
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::body::{Body, Incoming};
+use hyper::header::{self, HeaderName, HeaderValue};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{HeaderMap, Method, Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
+use tokio::task::spawn_local;
+use tokio::time::{timeout, Instant};
+
+use crate::driver::{Answer, Driver, Message};
+use crate::socket::{Socket, Unread};
+
+/// The largest body of a request or an answer.
+pub const MOST_BODY: usize = 64 << 10;
+/// How long the client waits, in milliseconds.
+pub const TIMEOUT: &str = "x-timeout-ms";
+
+/// Accepted for this long after the signal to end: the front takes a while to notice.
+const STILL_ACCEPTING: Duration = Duration::from_millis(500);
+/// The decisions get this much less than the client's time, for the answer's way back.
+const ANSWER_WAY: Duration = Duration::from_millis(20);
+/// What the decisions still hold open then, this much before the client's time, fails.
+const BACKSTOP: Duration = Duration::from_millis(8);
+/// The longest wait that makes sense, in milliseconds.
+const MOST_TIMEOUT: u64 = 24 * 3600 * 1000;
+/// Pause after a failed accept (no descriptors, mostly): trying at once would spin.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+type Reply = Response<Full<Bytes>>;
+
+/// The open connections of callers.
+struct Callers {
+    most: usize,
+    all: RefCell<BTreeMap<u64, Rc<Caller>>>,
+    one_left: Notify,
+    ending: Cell<bool>,
+}
+
+struct Caller {
+    socket: Socket,
+    /// A request on it has no answer yet.
+    busy: Cell<bool>,
+    used: Cell<Instant>,
+    /// Asks the connection to close once nothing is left to answer on it.
+    close: Notify,
+    closing: Cell<bool>,
+}
+
+/// Serves callers until `stop`, and then until all that was taken has its answer.
+pub async fn run(driver: Rc<Driver>, listener: TcpListener, most: usize, stop: impl Future<Output = ()>) {
+    let callers =
+        Rc::new(Callers { most, all: RefCell::default(), one_left: Notify::new(), ending: Cell::new(false) });
+    let mut stop = pin!(stop);
+    let mut accepted = 0;
+    tokio::select! {
+        () = stop.as_mut() => {}
+        () = accept(&driver, &callers, &listener, &mut accepted) => {}
+    }
+    callers.ending.set(true);
+    let _ = timeout(STILL_ACCEPTING, accept(&driver, &callers, &listener, &mut accepted)).await;
+    // What the kernel has accepted by now is taken, too.
+    while let Ok(Ok((stream, _))) = timeout(Duration::ZERO, listener.accept()).await {
+        serve(&driver, &callers, stream, &mut accepted);
+    }
+    drop(listener);
+    let open: Vec<_> = callers.all.borrow().values().cloned().collect();
+    open.iter().for_each(|caller| caller.ask_to_close());
+    while !callers.all.borrow().is_empty() {
+        callers.one_left.notified().await;
+    }
+}
+
+/// Accepts for as long as it is polled.
+async fn accept(driver: &Rc<Driver>, callers: &Rc<Callers>, listener: &TcpListener, accepted: &mut u64) {
+    loop {
+        // A connection left in the backlog waits; one accepted and dropped would lose its request.
+        while callers.all.borrow().len() >= callers.most {
+            callers.close_oldest_idle();
+            callers.one_left.notified().await;
+        }
+        match listener.accept().await {
+            Ok((stream, _)) => serve(driver, callers, stream, accepted),
+            Err(_) => {
+                callers.close_oldest_idle();
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+impl Callers {
+    fn close_oldest_idle(&self) {
+        let all = self.all.borrow();
+        let idle = all.values().filter(|c| !c.busy.get() && !c.closing.get());
+        if let Some(oldest) = idle.min_by_key(|c| c.used.get()) {
+            oldest.ask_to_close();
+        }
+    }
+}
+
+impl Caller {
+    fn ask_to_close(&self) {
+        self.closing.set(true);
+        self.close.notify_one();
+    }
+}
+
+/// Removes a connection from the list, however it ends.
+struct Registered(Rc<Callers>, u64);
+
+impl Drop for Registered {
+    fn drop(&mut self) {
+        self.0.all.borrow_mut().remove(&self.1);
+        self.0.one_left.notify_one();
+    }
+}
+
+fn serve(driver: &Rc<Driver>, callers: &Rc<Callers>, stream: TcpStream, accepted: &mut u64) {
+    *accepted += 1;
+    let socket = Socket::new(stream);
+    let caller = Rc::new(Caller {
+        socket: socket.clone(),
+        busy: Cell::new(false),
+        used: Cell::new(Instant::now()),
+        close: Notify::new(),
+        closing: Cell::new(false),
+    });
+    callers.all.borrow_mut().insert(*accepted, Rc::clone(&caller));
+    let registered = Registered(Rc::clone(callers), *accepted);
+    let driver = Rc::clone(driver);
+    spawn_local(async move {
+        let callers = &registered.0;
+        let service = service_fn(|request| {
+            let (driver, caller, callers) = (&driver, &caller, &callers);
+            async move {
+                caller.busy.set(true);
+                let mut reply = handle(driver, callers, request).await;
+                if callers.ending.get() || caller.closing.get() {
+                    reply.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+                }
+                caller.used.set(Instant::now());
+                caller.busy.set(false);
+                Ok::<_, Infallible>(reply)
+            }
+        });
+        let mut connection = pin!(http1::Builder::new().serve_connection(TokioIo::new(socket), service));
+        // An error is the caller's leaving or its malformed head, which hyper has answered with 400.
+        tokio::select! {
+            biased;
+            _ = connection.as_mut() => return,
+            () = caller.close.notified() => {}
+        }
+        // A request that has come in just now is answered first; its answer says that the connection ends.
+        if caller.busy.get() || caller.socket.unread() != Unread::Data {
+            connection.as_mut().graceful_shutdown();
+        }
+        let _ = connection.await;
+    });
+}
+
+async fn handle(driver: &Rc<Driver>, callers: &Callers, request: Request<Incoming>) -> Reply {
+    if request.uri().path() == "/healthz" {
+        let ready = !callers.ending.get() && driver.discovery().has_list();
+        return reply(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE });
+    }
+    let received = Instant::now();
+    let (new, message, patience) = match read(driver, request).await {
+        Ok(read) => read,
+        Err(status) => return reply(status),
+    };
+    let (id, answer) = driver.request(new, message);
+    let gone = Gone { driver, id: Some(id) };
+    let backstop = received + patience.saturating_sub(BACKSTOP);
+    let answer = match tokio::time::timeout_at(backstop, answer).await {
+        Ok(Ok(answer)) => answer,
+        Ok(Err(_)) => Answer::Failed,
+        Err(_) => Answer::TimedOut,
+    };
+    // Where no answer came, the request ends here, and so do its attempts.
+    drop(gone);
+    match answer {
+        Answer::Served(headers, body) => {
+            let mut reply = Response::new(Full::new(body));
+            *reply.headers_mut() = headers;
+            reply
+        }
+        Answer::Refused(retry_after) => {
+            let mut reply = reply(StatusCode::SERVICE_UNAVAILABLE);
+            if retry_after > 0 {
+                let seconds = format!("{:.3}", retry_after as f64 / 1e6);
+                let value = HeaderValue::from_str(&seconds).expect("digits make a header");
+                reply.headers_mut().insert(header::RETRY_AFTER, value);
+            }
+            reply
+        }
+        Answer::Failed => reply(StatusCode::BAD_GATEWAY),
+        Answer::TimedOut => reply(StatusCode::GATEWAY_TIMEOUT),
+    }
+}
+
+/// Tells the driver when nobody waits for a request any more; after its answer that changes nothing.
+struct Gone<'a> {
+    driver: &'a Rc<Driver>,
+    id: Option<RequestId>,
+}
+
+impl Drop for Gone<'_> {
+    fn drop(&mut self) {
+        if let Some(id) = self.id {
+            self.driver.client_gone(id);
+        }
+    }
+}
+
+fn reply(status: StatusCode) -> Reply {
+    let mut reply = Response::new(Full::default());
+    *reply.status_mut() = status;
+    reply
+}
+
+/// Reads a request whole, or says with which status to turn it away.
+async fn read(
+    driver: &Driver,
+    request: Request<Incoming>,
+) -> Result<(NewRequest, Message, Duration), StatusCode> {
+    let (mut head, body) = request.into_parts();
+    let text = |name: &str| head.headers.get(name).map(|v| v.to_str().map_err(|_| StatusCode::BAD_REQUEST));
+    let first = head.uri.path().trim_start_matches('/').split('/').next().unwrap_or_default();
+    let class = text("x-priority-class").transpose()?.unwrap_or(first);
+    let class = driver.names.borrow().class(class).ok_or(StatusCode::NOT_FOUND)?;
+    let of_class = &driver.settings.classes[class];
+    if text("x-request-id").transpose()?.is_none_or(str::is_empty) {
+        return Err(StatusCode::BAD_REQUEST);
+    }
+    let method = match of_class.semantics {
+        Semantics::Idempotent => Method::GET,
+        Semantics::Deduplicated { .. } | Semantics::AtMostOnce => Method::POST,
+    };
+    if head.method != method {
+        return Err(StatusCode::METHOD_NOT_ALLOWED);
+    }
+    let timeout = match text(TIMEOUT).transpose()? {
+        Some(ms) => ms
+            .trim()
+            .parse()
+            .ok()
+            .filter(|ms| (1..=MOST_TIMEOUT).contains(ms))
+            .ok_or(StatusCode::BAD_REQUEST)?,
+        None => (of_class.deadline / 1000).clamp(1, MOST_TIMEOUT as i64) as u64,
+    };
+    let patience = Duration::from_millis(timeout);
+    let work = text("x-cost").transpose()?.and_then(|us| us.trim().parse::<Micros>().ok());
+    let new = NewRequest {
+        id: RequestId(0),
+        class,
+        tenant: text("x-tenant-id").transpose()?.and_then(|t| driver.names.borrow().tenant(t)),
+        time_left: patience.saturating_sub(ANSWER_WAY.min(patience / 10)).as_micros() as Micros,
+        work: work.filter(|us| *us > 0),
+        is_retry: text("x-retried").transpose()? == Some("1"),
+    };
+    if body.size_hint().lower() > MOST_BODY as u64 {
+        return Err(StatusCode::PAYLOAD_TOO_LARGE);
+    }
+    let body = Limited::new(body, MOST_BODY).collect().await.map_err(|e| {
+        if e.is::<LengthLimitError>() {
+            StatusCode::PAYLOAD_TOO_LARGE
+        } else {
+            StatusCode::BAD_REQUEST
+        }
+    })?;
+    remove_hop_by_hop(&mut head.headers);
+    head.extensions.clear();
+    Ok((new, Request::from_parts(head, Full::new(body.to_bytes())), patience))
+}
+
+/// Removes what speaks of one connection only, and what hyper writes anew.
+pub fn remove_hop_by_hop(headers: &mut HeaderMap) {
+    let named: Vec<HeaderName> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|v| v.to_str().ok())
+        .flat_map(|v| v.split(',').filter_map(|name| name.trim().parse().ok()))
+        .collect();
+    let fixed = [
+        header::CONNECTION,
+        header::CONTENT_LENGTH,
+        header::PROXY_AUTHENTICATE,
+        header::PROXY_AUTHORIZATION,
+        header::TE,
+        header::TRAILER,
+        header::TRANSFER_ENCODING,
+        header::UPGRADE,
+        HeaderName::from_static("keep-alive"),
+    ];
+    named.iter().chain(&fixed).for_each(|name| {
+        headers.remove(name);
+    });
+}
--- /dev/null
+++ b/src/bin/amberlever/socket.rs
@@ -0,0 +1,90 @@
+//! A TCP socket that can be looked at while hyper owns it.
+
+use std::io;
+use std::mem::MaybeUninit;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{ready, Context, Poll};
+
+use socket2::SockRef;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+
+/// One owner reads and writes, any copy may ask what lies unread.
+#[derive(Clone)]
+pub struct Socket(Rc<TcpStream>);
+
+/// What a socket holds that nobody has read yet.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Unread {
+    Nothing,
+    Data,
+    /// The other side has ended or broken the connection.
+    Closed,
+}
+
+impl Socket {
+    pub fn new(stream: TcpStream) -> Socket {
+        // A message is one write, and none should wait for the acknowledgement of the one before.
+        let _ = stream.set_nodelay(true);
+        Socket(Rc::new(stream))
+    }
+
+    /// Asks the kernel, which knows of a closure before the runtime has come round to it.
+    pub fn unread(&self) -> Unread {
+        match SockRef::from(&*self.0).peek(&mut [MaybeUninit::uninit()]) {
+            Ok(0) => Unread::Closed,
+            Ok(_) => Unread::Data,
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => Unread::Nothing,
+            Err(_) => Unread::Closed,
+        }
+    }
+}
+
+impl AsyncRead for Socket {
+    fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+        loop {
+            ready!(self.0.poll_read_ready(cx))?;
+            match self.0.try_read(buf.initialize_unfilled()) {
+                Ok(n) => {
+                    buf.advance(n);
+                    return Poll::Ready(Ok(()));
+                }
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+                Err(e) => return Poll::Ready(Err(e)),
+            }
+        }
+    }
+}
+
+impl AsyncWrite for Socket {
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, data: &[u8]) -> Poll<io::Result<usize>> {
+        self.poll_write_vectored(cx, &[io::IoSlice::new(data)])
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        parts: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        loop {
+            ready!(self.0.poll_write_ready(cx))?;
+            match self.0.try_write_vectored(parts) {
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+                done => return Poll::Ready(done),
+            }
+        }
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        true
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(SockRef::from(&*self.0).shutdown(std::net::Shutdown::Write))
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -65,6 +65,7 @@
 
 mod choice;
 pub mod interface;
+pub mod settings;
 
 pub use choice::Balancer;
 pub use interface::{Action, Event, Settings};
