One task owns the decisions; nothing is borrowed twice

Cause: in Driver::take the arm for ClientGone kept 'if let Some(open) = self.open.borrow_mut().remove(&id)' borrowed over its body, where the decisions' Cancel borrows again; after it 'busy' stayed set and the proxy took no further input. Any caller that left with an attempt out did it.

The driver is now a task that owns its state and takes inputs from a channel, so there are no cells to borrow; a panic while an input is handled fails what is open and starts the decisions anew from the list as it stands. Discovery is a task of its own that the decisions notify.

--- a/src/bin/amberlever/backend.rs
+++ b/src/bin/amberlever/backend.rs
@@ -10,6 +10,7 @@
 use amberlever::settings::{Field, Transport};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::{self, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode};
@@ -18,7 +19,7 @@
 use tokio::task::{spawn_local, AbortHandle};
 use tokio::time::{timeout_at, Instant};
 
-use crate::driver::{Driver, Ended, Ending, Message};
+use crate::driver::{Ended, Message};
 use crate::server::{self, MOST_BODY};
 use crate::socket::{Socket, Unread};
 
@@ -35,7 +36,6 @@
 
 /// An attempt to make.
 pub struct Order {
-    pub request: RequestId,
     pub backend: BackendId,
     pub message: Rc<Message>,
     pub until: Instant,
@@ -45,8 +45,9 @@
     transport: Transport,
     most_links: usize,
     links: Rc<Cell<usize>>,
-    all: Rc<RefCell<BTreeMap<BackendId, Backend>>>,
-    complained: Cell<bool>,
+    all: RefCell<BTreeMap<BackendId, Backend>>,
+    complained_of_links: Cell<bool>,
+    complained_of_reports: Cell<bool>,
 }
 
 struct Backend {
@@ -64,7 +65,7 @@
 }
 
 /// A connection. Dropping it closes it.
-struct Link {
+pub struct Link {
     sender: SendRequest<Full<Bytes>>,
     socket: Socket,
     task: AbortHandle,
@@ -105,8 +106,9 @@
             transport,
             most_links,
             links: Rc::default(),
-            all: Rc::default(),
-            complained: Cell::new(false),
+            all: RefCell::default(),
+            complained_of_links: Cell::new(false),
+            complained_of_reports: Cell::new(false),
         }
     }
 
@@ -114,18 +116,16 @@
         Duration::from_micros((self.transport.keepalive as f64 * KEPT_IDLE) as u64)
     }
 
-    /// Closes idle connections when their time is up.
-    pub fn sweep_regularly(&self) {
-        let (all, kept) = (Rc::clone(&self.all), self.kept_idle());
+    /// Closes idle connections when their time is up, for as long as it is polled.
+    pub async fn sweep(&self) {
+        let kept = self.kept_idle();
         let pause = (kept / 10).clamp(Duration::from_millis(10), Duration::from_secs(1));
-        spawn_local(async move {
-            loop {
-                tokio::time::sleep(pause).await;
-                for backend in all.borrow_mut().values_mut() {
-                    backend.idle.retain(|i| i.since.elapsed() < kept && i.link.sender.is_ready());
-                }
+        loop {
+            tokio::time::sleep(pause).await;
+            for backend in self.all.borrow_mut().values_mut() {
+                backend.idle.retain(|i| i.since.elapsed() < kept && i.link.sender.is_ready());
             }
-        });
+        }
     }
 
     // ---- The list ----
@@ -193,7 +193,7 @@
     async fn connect(&self, id: BackendId) -> Option<Link> {
         let address = self.all.borrow().get(&id)?.address;
         if self.links.get() >= self.most_links && !self.close_oldest_idle() {
-            if !self.complained.replace(true) {
+            if !self.complained_of_links.replace(true) {
                 eprintln!("all {} sockets for backends are in use", self.most_links);
             }
             return None;
@@ -227,22 +227,19 @@
 
     // ---- Attempts ----
 
-    pub async fn attempt(&self, driver: &Driver, order: Order, mut ending: Ending) {
+    /// Makes an attempt: how it ended, and the connection if that can serve again.
+    pub async fn attempt(&self, order: &Order) -> (Ended, Option<Link>) {
         let written = Cell::new(false);
-        let result = timeout_at(order.until, self.exchange(driver, &order, &written)).await;
-        match result {
-            Ok((ended, link)) => {
-                ending.say(ended);
-                self.reuse(order.backend, link).await;
-            }
+        match timeout_at(order.until, self.exchange(order, &written)).await {
+            Ok(result) => result,
             // Nothing was sent, so nothing ran: the time went in connecting.
-            Err(_) if !written.get() => ending.say(Outcome::Moot.into()),
-            Err(_) => ending.say(Outcome::Timeout.into()),
+            Err(_) if !written.get() => (Outcome::Moot.into(), None),
+            Err(_) => (Outcome::Timeout.into(), None),
         }
     }
 
-    /// Waits until a connection is free for the next request.
-    async fn reuse(&self, id: BackendId, link: Option<Link>) {
+    /// Keeps a connection for the next request, once it is free for one.
+    pub async fn reuse(&self, id: BackendId, link: Option<Link>) {
         if let Some(mut link) = link {
             if link.sender.ready().await.is_ok() {
                 self.keep(id, link);
@@ -250,7 +247,7 @@
         }
     }
 
-    async fn exchange(&self, driver: &Driver, order: &Order, written: &Cell<bool>) -> (Ended, Option<Link>) {
+    async fn exchange(&self, order: &Order, written: &Cell<bool>) -> (Ended, Option<Link>) {
         loop {
             let idle = self.idle(order.backend);
             let fresh = idle.is_none();
@@ -261,9 +258,8 @@
             let Some(mut link) = link else { return (Outcome::ConnectFailed.into(), None) };
             // Connecting took time: look again before anything is written.
             let left = order.until.saturating_duration_since(Instant::now());
-            if left.is_zero() || !driver.is_open(order.request) || !self.may_write(order.backend) {
-                self.keep(order.backend, link);
-                return (Outcome::Moot.into(), None);
+            if left.is_zero() || !self.may_write(order.backend) {
+                return (Outcome::Moot.into(), Some(link));
             }
             let mut message = (*order.message).clone();
             let left = HeaderValue::from(left.as_millis().max(1) as u64);
@@ -283,18 +279,13 @@
                     continue;
                 }
             };
-            return self.read(driver, response, link).await;
+            return self.read(response, link).await;
         }
     }
 
-    async fn read(
-        &self,
-        driver: &Driver,
-        response: Response<hyper::body::Incoming>,
-        link: Link,
-    ) -> (Ended, Option<Link>) {
+    async fn read(&self, response: Response<Incoming>, link: Link) -> (Ended, Option<Link>) {
         let (head, body) = response.into_parts();
-        let report = head.headers.get(LOAD_HEADER).and_then(|v| self.report(driver, v.as_bytes()));
+        let report = head.headers.get(LOAD_HEADER).and_then(|v| self.report(v.as_bytes()));
         let turned_away = head.headers.get(NOT_PROCESSED).is_some_and(|v| v == "1");
         let body = Limited::new(body, MOST_BODY).collect().await;
         let outcome = match head.status {
@@ -319,9 +310,9 @@
     }
 
     /// A load report: an object of numbers. A malformed one is passed over.
-    fn report(&self, _driver: &Driver, json: &[u8]) -> Option<Report> {
+    fn report(&self, json: &[u8]) -> Option<Report> {
         let Ok(values) = serde_json::from_slice::<BTreeMap<String, f64>>(json) else {
-            if !self.complained.replace(true) {
+            if !self.complained_of_reports.replace(true) {
                 eprintln!("passing over a malformed load report: {:?}", String::from_utf8_lossy(json));
             }
             return None;
@@ -333,7 +324,7 @@
         Some(report)
     }
 
-    pub async fn probe(&self, driver: &Driver, id: BackendId) -> Ended {
+    pub async fn probe(&self, id: BackendId) -> Ended {
         let Some(mut link) = self.connect(id).await else { return Outcome::ConnectFailed.into() };
         let mut request = Request::new(Full::default());
         *request.method_mut() = Method::GET;
@@ -355,7 +346,7 @@
                 StatusCode::SERVICE_UNAVAILABLE => Outcome::Full,
                 _ => Outcome::Error,
             };
-            Ended { outcome, report: self.report(driver, json), answer: None }
+            Ended { outcome, report: self.report(json), answer: None }
         };
         let limit = Instant::now() + PROBE_TIME;
         timeout_at(limit, exchange).await.unwrap_or_else(|_| Outcome::Timeout.into())
--- a/src/bin/amberlever/driver.rs
+++ b/src/bin/amberlever/driver.rs
@@ -1,27 +1,24 @@
 //! The one owner of the decisions: turns what happens on sockets into events, and carries out the actions.
 //!
-//! Everything here is synchronous. I/O tasks call in with what they saw; what follows from it at once (an
-//! attempt called off, one that cannot start) is queued behind, so events never nest.
+//! I/O tasks tell it what they saw through a [`Handle`]; it takes these inputs one at a time and in order,
+//! so events never nest and nothing here needs a lock.
 
-use std::cell::{Cell, RefCell};
+use std::cell::Cell;
 use std::collections::{BTreeMap, VecDeque};
 use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use amberlever::interface::*;
-use amberlever::settings::Names;
 use amberlever::Balancer;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{HeaderMap, Request};
-use tokio::sync::oneshot;
+use tokio::sync::{mpsc, oneshot, Notify};
 use tokio::task::{spawn_local, AbortHandle};
 use tokio::time::Instant;
 
 use crate::backend::{Backends, Order};
-use crate::config::Config;
-use crate::discovery;
 
 /// A request as it goes to a backend.
 pub type Message = Request<Full<Bytes>>;
@@ -39,11 +36,11 @@
     TimedOut,
 }
 
-/// How an attempt ended.
+/// How an attempt or a probe ended.
 pub struct Ended {
     pub outcome: Outcome,
     pub report: Option<Report>,
-    /// With [`Outcome::Ok`]: the answer.
+    /// With an attempt's [`Outcome::Ok`]: the answer.
     pub answer: Option<(HeaderMap, Bytes)>,
 }
 
@@ -61,7 +58,7 @@
 }
 
 impl Clock {
-    fn new() -> Clock {
+    pub fn new() -> Clock {
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         Clock { start: Instant::now(), unix_start: unix.as_micros() as Micros }
     }
@@ -75,7 +72,7 @@
         self.start + Duration::from_micros(at.clamp(0, TIME_LIMIT) as u64)
     }
 
-    /// A time in Unix milliseconds; 0 stands for none.
+    /// What the clock read at a time in Unix milliseconds; 0 stands for no time.
     pub fn at_unix_ms(&self, ms: f64) -> Option<Micros> {
         (ms != 0.0).then(|| ((ms * 1000.0) as Micros).saturating_sub(self.unix_start))
     }
@@ -84,22 +81,57 @@
 /// Something that happened, as it waits for its turn.
 enum Input {
     Backends(ListScope, Vec<BackendEntry>),
-    Request(NewRequest),
-    /// An attempt ended by itself.
+    Request(NewRequest, Message, oneshot::Sender<Answer>),
     Ended(RequestId, usize, Ended),
-    /// An attempt of a request that is over was called off.
+    /// An attempt of a request that is over was called off: where to, and when it was sent.
     Dropped(RequestId, usize, BackendId, Micros),
     ClientGone(RequestId),
     Timer(u64),
-    Probed(BackendId, Outcome, Micros, Option<Report>),
+    Probed {
+        backend: BackendId,
+        sent: Micros,
+        ended: Ended,
+    },
+}
+
+/// What the I/O tasks tell the driver by.
+#[derive(Clone)]
+pub struct Handle {
+    inputs: mpsc::UnboundedSender<Input>,
+    last_id: Rc<Cell<u64>>,
+}
+
+impl Handle {
+    /// Hands over a request. Its answer comes at once or later; a receiver that is closed means that it failed.
+    pub fn request(&self, mut new: NewRequest, message: Message) -> (RequestId, oneshot::Receiver<Answer>) {
+        new.id = RequestId(self.last_id.get() + 1);
+        self.last_id.set(new.id.0);
+        let (id, (sender, receiver)) = (new.id, oneshot::channel());
+        self.tell(Input::Request(new, message, sender));
+        (id, receiver)
+    }
+
+    /// Nobody waits for this request any more: nothing is owed or sent for it from here on.
+    pub fn client_gone(&self, id: RequestId) {
+        self.tell(Input::ClientGone(id));
+    }
+
+    pub fn backends(&self, scope: ListScope, entries: Vec<BackendEntry>) {
+        self.tell(Input::Backends(scope, entries));
+    }
+
+    fn tell(&self, input: Input) {
+        // The driver ends only with the process.
+        let _ = self.inputs.send(input);
+    }
 }
 
 /// A request that is owed an answer.
 struct Open {
     message: Rc<Message>,
-    deadline: Instant,
     answer: oneshot::Sender<Answer>,
     attempts: Vec<Attempt>,
+    /// The last attempt that ended ran out of time.
     timed_out: bool,
 }
 
@@ -111,214 +143,165 @@
 }
 
 pub struct Driver {
-    pub clock: Clock,
-    pub backends: Backends,
-    pub names: RefCell<Names>,
-    pub settings: Settings,
-    discovery: discovery::Watch,
-    seed: Cell<u64>,
-    balancer: RefCell<Balancer>,
-    open: RefCell<BTreeMap<RequestId, Open>>,
-    last_id: Cell<u64>,
-    inputs: RefCell<VecDeque<Input>>,
-    /// An input is being handled, somewhere up the stack.
-    busy: Cell<bool>,
+    clock: Clock,
+    settings: Settings,
+    seed: u64,
+    balancer: Balancer,
+    open: BTreeMap<RequestId, Open>,
+    backends: Rc<Backends>,
+    subscribe: Rc<Notify>,
+    handle: Handle,
+    arriving: mpsc::UnboundedReceiver<Input>,
+    /// What followed from the last input at once; it comes before what arrives.
+    following: VecDeque<Input>,
 }
 
 impl Driver {
-    pub fn new(config: Config) -> Driver {
-        let clock = Clock::new();
+    /// `subscribe` is notified when the decisions ask for the list of backends.
+    pub fn new(
+        settings: Settings,
+        seed: u64,
+        clock: Clock,
+        backends: Rc<Backends>,
+        subscribe: Rc<Notify>,
+    ) -> Driver {
+        let (inputs, arriving) = mpsc::unbounded_channel();
         Driver {
             clock,
-            backends: Backends::new(config.site.transport, config.sockets - config.sockets / 2),
-            names: RefCell::new(config.site.names),
-            balancer: RefCell::new(Balancer::new(config.site.settings.clone(), config.seed)),
-            settings: config.site.settings,
-            discovery: discovery::Watch::new(config.discovery, config.known),
-            seed: Cell::new(config.seed),
-            open: RefCell::default(),
-            last_id: Cell::new(0),
-            inputs: RefCell::default(),
-            busy: Cell::new(false),
+            balancer: Balancer::new(settings.clone(), seed),
+            settings,
+            seed,
+            open: BTreeMap::new(),
+            backends,
+            subscribe,
+            handle: Handle { inputs, last_id: Rc::default() },
+            arriving,
+            following: VecDeque::new(),
         }
     }
 
-    /// Hands over the list as last known; the decisions ask for what they want from there on.
-    pub fn start(self: &Rc<Self>) {
-        self.backends.sweep_regularly();
-        self.discovery.start(self);
-    }
-
-    // ---- What the I/O tasks call ----
-
-    /// Takes a request. Its answer comes at once or later, unless the client leaves before.
-    pub fn request(
-        self: &Rc<Self>,
-        mut new: NewRequest,
-        message: Message,
-    ) -> (RequestId, oneshot::Receiver<Answer>) {
-        new.id = RequestId(self.last_id.get() + 1);
-        self.last_id.set(new.id.0);
-        let id = new.id;
-        let (answer, receiver) = oneshot::channel();
-        let deadline = self.clock.instant(self.clock.now() + new.time_left);
-        let open =
-            Open { message: Rc::new(message), deadline, answer, attempts: Vec::new(), timed_out: false };
-        self.open.borrow_mut().insert(id, open);
-        self.input(Input::Request(new));
-        (id, receiver)
-    }
-
-    /// The caller has gone, or has its answer from elsewhere: nothing more is owed or sent.
-    pub fn client_gone(self: &Rc<Self>, id: RequestId) {
-        self.input(Input::ClientGone(id));
+    pub fn handle(&self) -> Handle {
+        self.handle.clone()
     }
 
-    pub fn attempt_ended(self: &Rc<Self>, id: RequestId, attempt: usize, ended: Ended) {
-        self.input(Input::Ended(id, attempt, ended));
-    }
-
-    pub fn list(self: &Rc<Self>, scope: ListScope, entries: Vec<BackendEntry>) {
-        self.input(Input::Backends(scope, entries));
-    }
-
-    pub fn discovery(&self) -> &discovery::Watch {
-        &self.discovery
+    /// Takes inputs, one at a time, for as long as it is polled.
+    pub async fn run(mut self) {
+        while let Some(input) = self.arriving.recv().await {
+            self.following.push_back(input);
+            while let Some(input) = self.following.pop_front() {
+                if catch_unwind(AssertUnwindSafe(|| self.take(input))).is_err() {
+                    self.start_anew();
+                }
+            }
+        }
     }
 
-    pub fn is_open(&self, id: RequestId) -> bool {
-        self.open.borrow().contains_key(&id)
+    /// Guards against a panic: what the decisions held may be half changed, so all that is open fails, and a
+    /// new balancer goes on from the list as it stands.
+    fn start_anew(&mut self) {
+        eprintln!("the decisions panicked: failing what is open and starting anew");
+        self.following.clear();
+        for open in std::mem::take(&mut self.open).into_values() {
+            open.attempts.iter().filter_map(|a| a.task.as_ref()).for_each(AbortHandle::abort);
+            let _ = open.answer.send(Answer::Failed);
+        }
+        self.seed = self.seed.wrapping_add(1);
+        self.balancer = Balancer::new(self.settings.clone(), self.seed);
+        self.following.push_back(Input::Backends(ListScope::Cached, self.backends.entries()));
     }
 
     // ---- Events ----
 
-    fn input(self: &Rc<Self>, input: Input) {
-        self.inputs.borrow_mut().push_back(input);
-        if self.busy.replace(true) {
-            return;
-        }
-        loop {
-            let Some(input) = self.inputs.borrow_mut().pop_front() else { break };
-            self.take(input);
-        }
-        self.busy.set(false);
-    }
-
-    fn take(self: &Rc<Self>, input: Input) {
+    fn take(&mut self, input: Input) {
         match input {
             Input::Backends(scope, entries) => self.decide(Event::Backends { scope, entries: &entries }),
-            Input::Request(new) => self.decide(Event::Request(new)),
+            Input::Request(new, message, answer) => {
+                let open = Open { message: Rc::new(message), answer, attempts: Vec::new(), timed_out: false };
+                self.open.insert(new.id, open);
+                self.decide(Event::Request(new));
+            }
             Input::Ended(id, nth, ended) => self.ended(id, nth, ended),
-            Input::Dropped(request, attempt, backend, sent) => self.decide(Event::Outcome {
-                request,
-                attempt,
-                backend,
-                outcome: Outcome::Cancelled,
-                took: self.clock.now() - sent,
-                is_final: true,
-                report: None,
-            }),
+            Input::Dropped(id, nth, backend, sent) => {
+                self.outcome(id, nth, (backend, sent), Outcome::Cancelled, true, None);
+            }
             Input::ClientGone(id) => {
-                if let Some(open) = self.open.borrow_mut().remove(&id) {
-                    self.drop_attempts(id, open.attempts);
+                if let Some(open) = self.open.remove(&id) {
                     self.decide(Event::ClientGone(id));
+                    self.drop_attempts(id, open.attempts);
                 }
             }
             Input::Timer(token) => self.decide(Event::Timer(token)),
-            Input::Probed(backend, outcome, took, report) => {
-                self.decide(Event::Probed { backend, outcome, took, report });
+            Input::Probed { backend, sent, ended } => {
+                let (took, report) = (self.clock.now() - sent, ended.report);
+                self.decide(Event::Probed { backend, outcome: ended.outcome, took, report });
             }
         }
     }
 
-    /// An attempt has its outcome; one that was called off before has had it already.
-    fn ended(self: &Rc<Self>, id: RequestId, nth: usize, ended: Ended) {
-        let mut all = self.open.borrow_mut();
-        let Some(open) = all.get_mut(&id) else { return };
+    /// An attempt has its outcome; one that was called off has had it already.
+    fn ended(&mut self, id: RequestId, nth: usize, ended: Ended) {
+        let Some(open) = self.open.get_mut(&id) else { return };
         let Some(attempt) = open.attempts.get_mut(nth).filter(|a| a.task.is_some()) else { return };
         attempt.task = None;
         let (backend, sent) = (attempt.backend, attempt.sent);
         open.timed_out = ended.outcome == Outcome::Timeout;
-        drop(all);
         let is_final = ended.answer.is_some();
         if let Some((headers, body)) = ended.answer {
             self.answer(id, Answer::Served(headers, body));
         }
-        self.decide(Event::Outcome {
-            request: id,
-            attempt: nth,
-            backend,
-            outcome: ended.outcome,
-            took: self.clock.now() - sent,
-            is_final,
-            report: ended.report,
-        });
+        self.outcome(id, nth, (backend, sent), ended.outcome, is_final, ended.report);
     }
 
-    /// One event to the decisions, and their actions carried out in order.
-    fn decide(self: &Rc<Self>, event: Event<'_>) {
-        let mut actions = Vec::new();
-        let now = self.clock.now();
-        let mut balancer = self.balancer.borrow_mut();
-        let decided = catch_unwind(AssertUnwindSafe(|| balancer.handle(now, event, &mut actions)));
-        drop(balancer);
-        match decided {
-            Ok(()) => actions.into_iter().for_each(|action| self.carry_out(action)),
-            Err(_) => self.start_anew(),
-        }
+    fn outcome(
+        &mut self,
+        request: RequestId,
+        attempt: usize,
+        (backend, sent): (BackendId, Micros),
+        outcome: Outcome,
+        is_final: bool,
+        report: Option<Report>,
+    ) {
+        let took = self.clock.now() - sent;
+        self.decide(Event::Outcome { request, attempt, backend, outcome, took, is_final, report });
     }
 
-    /// Guards against a panic in the decisions: what they held may be half changed, so all open requests
-    /// fail, and a new balancer goes on from the list as it stands.
-    fn start_anew(self: &Rc<Self>) {
-        eprintln!("the decisions panicked; failing what is open and starting anew");
-        self.inputs.borrow_mut().retain(|i| !matches!(i, Input::Dropped(..) | Input::Timer(_)));
-        let open = std::mem::take(&mut *self.open.borrow_mut());
-        for request in open.into_values() {
-            request.attempts.iter().filter_map(|a| a.task.as_ref()).for_each(AbortHandle::abort);
-            let _ = request.answer.send(Answer::Failed);
-        }
-        self.seed.set(self.seed.get().wrapping_add(1));
-        *self.balancer.borrow_mut() = Balancer::new(self.settings.clone(), self.seed.get());
-        self.discovery.stop();
-        let known = Input::Backends(ListScope::Cached, self.backends.entries());
-        self.inputs.borrow_mut().push_front(known);
+    /// One event to the decisions, and their actions carried out in order.
+    fn decide(&mut self, event: Event<'_>) {
+        let mut actions = Vec::new();
+        self.balancer.handle(self.clock.now(), event, &mut actions);
+        actions.into_iter().for_each(|action| self.carry_out(action));
     }
 
     // ---- Actions ----
 
-    fn carry_out(self: &Rc<Self>, action: Action) {
+    fn carry_out(&mut self, action: Action) {
         match action {
             Action::Send { request, backend, until } => self.send(request, backend, until),
             Action::Refuse { request, retry_after } => self.answer(request, Answer::Refused(retry_after)),
             Action::Fail(id) => {
-                let late = self.open.borrow().get(&id).is_some_and(|o| o.timed_out);
+                let late = self.open.get(&id).is_some_and(|o| o.timed_out);
                 self.answer(id, if late { Answer::TimedOut } else { Answer::Failed });
             }
             Action::Cancel { request, attempt } => {
-                let mut all = self.open.borrow_mut();
-                let Some(open) = all.get_mut(&request) else { return };
-                let Some(attempt_of) = open.attempts.get_mut(attempt) else { return };
-                let Some(task) = attempt_of.task.as_ref() else { return };
-                task.abort();
-                drop(all);
-                self.inputs.borrow_mut().push_back(Input::Ended(request, attempt, Outcome::Cancelled.into()));
+                let running = self.open.get(&request).and_then(|o| o.attempts.get(attempt)?.task.as_ref());
+                if let Some(task) = running {
+                    task.abort();
+                    self.following.push_back(Input::Ended(request, attempt, Outcome::Cancelled.into()));
+                }
             }
             Action::Timer { at, token } => {
-                let driver = Rc::clone(self);
+                let (handle, at) = (self.handle(), self.clock.instant(at));
                 spawn_local(async move {
-                    tokio::time::sleep_until(driver.clock.instant(at)).await;
-                    driver.input(Input::Timer(token));
+                    tokio::time::sleep_until(at).await;
+                    handle.tell(Input::Timer(token));
                 });
             }
-            Action::Subscribe => self.discovery.subscribe(self),
+            Action::Subscribe => self.subscribe.notify_one(),
             Action::Probe(backend) => {
-                let driver = Rc::clone(self);
+                let (handle, backends, sent) = (self.handle(), self.backends.clone(), self.clock.now());
                 spawn_local(async move {
-                    let sent = driver.clock.now();
-                    let ended = driver.backends.probe(&driver, backend).await;
-                    let took = driver.clock.now() - sent;
-                    driver.input(Input::Probed(backend, ended.outcome, took, ended.report));
+                    let ended = backends.probe(backend).await;
+                    handle.tell(Input::Probed { backend, sent, ended });
                 });
             }
             Action::Tell { .. } => {}
@@ -326,56 +309,52 @@
         }
     }
 
-    fn send(self: &Rc<Self>, id: RequestId, backend: BackendId, until: Micros) {
-        let sent = self.clock.now();
-        let mut all = self.open.borrow_mut();
-        let Some(open) = all.get_mut(&id) else { return };
+    fn send(&mut self, request: RequestId, backend: BackendId, until: Micros) {
+        let Some(open) = self.open.get_mut(&request) else { return };
         let attempt = open.attempts.len();
-        let order = Order {
-            request: id,
-            backend,
-            message: Rc::clone(&open.message),
-            until: self.clock.instant(until).min(open.deadline),
-        };
-        let ending = Ending { driver: Rc::clone(self), request: id, attempt, said: false };
+        let mut ending = Ending { handle: self.handle.clone(), request, attempt, said: false };
+        let order = Order { backend, message: open.message.clone(), until: self.clock.instant(until) };
+        let backends = self.backends.clone();
         let task = spawn_local(async move {
-            let driver = Rc::clone(&ending.driver);
-            driver.backends.attempt(&driver, order, ending).await;
+            let (ended, link) = backends.attempt(&order).await;
+            ending.say(ended);
+            backends.reuse(backend, link).await;
         });
+        let sent = self.clock.now();
         open.attempts.push(Attempt { backend, sent, task: Some(task.abort_handle()) });
     }
 
     /// Gives a request its final answer; nothing more is sent for it.
-    fn answer(self: &Rc<Self>, id: RequestId, answer: Answer) {
-        let Some(open) = self.open.borrow_mut().remove(&id) else { return };
+    fn answer(&mut self, id: RequestId, answer: Answer) {
+        let Some(open) = self.open.remove(&id) else { return };
         // The caller may have gone in this very moment.
         let _ = open.answer.send(answer);
         self.drop_attempts(id, open.attempts);
     }
 
-    fn drop_attempts(&self, id: RequestId, attempts: Vec<Attempt>) {
+    /// Calls off the attempts of a request that is over. The decisions still get an outcome for each.
+    fn drop_attempts(&mut self, id: RequestId, attempts: Vec<Attempt>) {
         for (nth, attempt) in attempts.into_iter().enumerate() {
             if let Some(task) = attempt.task {
                 task.abort();
-                let dropped = Input::Dropped(id, nth, attempt.backend, attempt.sent);
-                self.inputs.borrow_mut().push_back(dropped);
+                self.following.push_back(Input::Dropped(id, nth, attempt.backend, attempt.sent));
             }
         }
     }
 }
 
-/// Sees to it that an attempt has exactly one outcome, also if its task panics: then it may have run.
-pub struct Ending {
-    driver: Rc<Driver>,
+/// Sees to it that an attempt has an outcome, also if its task panics: then it may have run.
+struct Ending {
+    handle: Handle,
     request: RequestId,
     attempt: usize,
     said: bool,
 }
 
 impl Ending {
-    pub fn say(&mut self, ended: Ended) {
+    fn say(&mut self, ended: Ended) {
         self.said = true;
-        self.driver.attempt_ended(self.request, self.attempt, ended);
+        self.handle.tell(Input::Ended(self.request, self.attempt, ended));
     }
 }
 
--- a/src/bin/amberlever/main.rs
+++ b/src/bin/amberlever/main.rs
@@ -11,15 +11,21 @@
 mod server;
 mod socket;
 
+use std::cell::Cell;
+use std::collections::BTreeMap;
 use std::process::ExitCode;
 use std::rc::Rc;
 
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, SignalKind};
-use tokio::task::LocalSet;
+use tokio::sync::Notify;
+use tokio::task::{spawn_local, LocalSet};
 
+use crate::backend::Backends;
 use crate::config::Config;
-use crate::driver::Driver;
+use crate::discovery::Discovery;
+use crate::driver::{Clock, Driver};
+use crate::server::Gate;
 
 fn main() -> ExitCode {
     let result = Config::from_env().and_then(|config| {
@@ -47,11 +53,33 @@
         .await
         .map_err(|e| format!("cannot listen on {}: {e}", config.listen))?;
     let address = listener.local_addr().map_err(|e| format!("cannot listen: {e}"))?;
+    let site = config.site;
+    let clock = Clock::new();
     let callers = config.sockets / 2;
-    let driver = Rc::new(Driver::new(config));
-    driver.start();
+    let backends = Rc::new(Backends::new(site.transport, config.sockets - callers));
+    let subscribe = Rc::new(Notify::new());
+    let ready = Rc::new(Cell::new(false));
+    let driver =
+        Driver::new(site.settings.clone(), config.seed, clock, backends.clone(), Rc::clone(&subscribe));
+    let handle = driver.handle();
+    let discovery = Discovery {
+        address: config.discovery,
+        clock,
+        names: site.names.clone(),
+        handle: handle.clone(),
+        backends: Rc::clone(&backends),
+        subscribe: site.settings.ask_discovery.then_some(subscribe),
+        ready: Rc::clone(&ready),
+        seq: None,
+        ids: BTreeMap::new(),
+        complained: false,
+    };
+    spawn_local(driver.run());
+    spawn_local(discovery.run(config.known));
+    spawn_local(async move { backends.sweep().await });
     eprintln!("listening on {address}");
-    server::run(driver, listener, callers, async move {
+    let gate = Gate { handle, names: site.names, settings: site.settings, ready };
+    server::run(gate, listener, callers, async move {
         tokio::select! {
             _ = term.recv() => {}
             _ = interrupt.recv() => {}
--- a/src/bin/amberlever/server.rs
+++ b/src/bin/amberlever/server.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use amberlever::interface::*;
+use amberlever::settings::Names;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
@@ -22,7 +23,7 @@
 use tokio::task::spawn_local;
 use tokio::time::{timeout, Instant};
 
-use crate::driver::{Answer, Driver, Message};
+use crate::driver::{Answer, Handle, Message};
 use crate::socket::{Socket, Unread};
 
 /// The largest body of a request or an answer.
@@ -43,8 +44,18 @@
 
 type Reply = Response<Full<Bytes>>;
 
+/// What requests are read by and handed to.
+pub struct Gate {
+    pub handle: Handle,
+    pub names: Names,
+    pub settings: Settings,
+    /// Says whether there is a list of backends.
+    pub ready: Rc<Cell<bool>>,
+}
+
 /// The open connections of callers.
 struct Callers {
+    gate: Gate,
     most: usize,
     all: RefCell<BTreeMap<u64, Rc<Caller>>>,
     one_left: Notify,
@@ -62,20 +73,25 @@
 }
 
 /// Serves callers until `stop`, and then until all that was taken has its answer.
-pub async fn run(driver: Rc<Driver>, listener: TcpListener, most: usize, stop: impl Future<Output = ()>) {
-    let callers =
-        Rc::new(Callers { most, all: RefCell::default(), one_left: Notify::new(), ending: Cell::new(false) });
+pub async fn run(gate: Gate, listener: TcpListener, most: usize, stop: impl Future<Output = ()>) {
+    let callers = Rc::new(Callers {
+        gate,
+        most,
+        all: RefCell::default(),
+        one_left: Notify::new(),
+        ending: Cell::new(false),
+    });
     let mut stop = pin!(stop);
     let mut accepted = 0;
     tokio::select! {
         () = stop.as_mut() => {}
-        () = accept(&driver, &callers, &listener, &mut accepted) => {}
+        () = accept(&callers, &listener, &mut accepted) => {}
     }
     callers.ending.set(true);
-    let _ = timeout(STILL_ACCEPTING, accept(&driver, &callers, &listener, &mut accepted)).await;
+    let _ = timeout(STILL_ACCEPTING, accept(&callers, &listener, &mut accepted)).await;
     // What the kernel has accepted by now is taken, too.
     while let Ok(Ok((stream, _))) = timeout(Duration::ZERO, listener.accept()).await {
-        serve(&driver, &callers, stream, &mut accepted);
+        serve(&callers, stream, &mut accepted);
     }
     drop(listener);
     let open: Vec<_> = callers.all.borrow().values().cloned().collect();
@@ -86,7 +102,7 @@
 }
 
 /// Accepts for as long as it is polled.
-async fn accept(driver: &Rc<Driver>, callers: &Rc<Callers>, listener: &TcpListener, accepted: &mut u64) {
+async fn accept(callers: &Rc<Callers>, listener: &TcpListener, accepted: &mut u64) {
     loop {
         // A connection left in the backlog waits; one accepted and dropped would lose its request.
         while callers.all.borrow().len() >= callers.most {
@@ -94,7 +110,7 @@
             callers.one_left.notified().await;
         }
         match listener.accept().await {
-            Ok((stream, _)) => serve(driver, callers, stream, accepted),
+            Ok((stream, _)) => serve(callers, stream, accepted),
             Err(_) => {
                 callers.close_oldest_idle();
                 tokio::time::sleep(ACCEPT_PAUSE).await;
@@ -130,7 +146,7 @@
     }
 }
 
-fn serve(driver: &Rc<Driver>, callers: &Rc<Callers>, stream: TcpStream, accepted: &mut u64) {
+fn serve(callers: &Rc<Callers>, stream: TcpStream, accepted: &mut u64) {
     *accepted += 1;
     let socket = Socket::new(stream);
     let caller = Rc::new(Caller {
@@ -142,14 +158,13 @@
     });
     callers.all.borrow_mut().insert(*accepted, Rc::clone(&caller));
     let registered = Registered(Rc::clone(callers), *accepted);
-    let driver = Rc::clone(driver);
     spawn_local(async move {
         let callers = &registered.0;
         let service = service_fn(|request| {
-            let (driver, caller, callers) = (&driver, &caller, &callers);
+            let (caller, callers) = (&caller, &callers);
             async move {
                 caller.busy.set(true);
-                let mut reply = handle(driver, callers, request).await;
+                let mut reply = handle(callers, request).await;
                 if callers.ending.get() || caller.closing.get() {
                     reply.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
                 }
@@ -173,18 +188,19 @@
     });
 }
 
-async fn handle(driver: &Rc<Driver>, callers: &Callers, request: Request<Incoming>) -> Reply {
+async fn handle(callers: &Callers, request: Request<Incoming>) -> Reply {
     if request.uri().path() == "/healthz" {
-        let ready = !callers.ending.get() && driver.discovery().has_list();
+        let ready = !callers.ending.get() && callers.gate.ready.get();
         return reply(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE });
     }
+    let gate = &callers.gate;
     let received = Instant::now();
-    let (new, message, patience) = match read(driver, request).await {
+    let (new, message, patience) = match read(gate, request).await {
         Ok(read) => read,
         Err(status) => return reply(status),
     };
-    let (id, answer) = driver.request(new, message);
-    let gone = Gone { driver, id: Some(id) };
+    let (id, answer) = gate.handle.request(new, message);
+    let gone = Gone(&gate.handle, id);
     let backstop = received + patience.saturating_sub(BACKSTOP);
     let answer = match tokio::time::timeout_at(backstop, answer).await {
         Ok(Ok(answer)) => answer,
@@ -213,17 +229,12 @@
     }
 }
 
-/// Tells the driver when nobody waits for a request any more; after its answer that changes nothing.
-struct Gone<'a> {
-    driver: &'a Rc<Driver>,
-    id: Option<RequestId>,
-}
+/// Tells the driver that nobody waits for a request any more; after its answer that changes nothing.
+struct Gone<'a>(&'a Handle, RequestId);
 
 impl Drop for Gone<'_> {
     fn drop(&mut self) {
-        if let Some(id) = self.id {
-            self.driver.client_gone(id);
-        }
+        self.0.client_gone(self.1);
     }
 }
 
@@ -235,15 +246,15 @@
 
 /// Reads a request whole, or says with which status to turn it away.
 async fn read(
-    driver: &Driver,
+    gate: &Gate,
     request: Request<Incoming>,
 ) -> Result<(NewRequest, Message, Duration), StatusCode> {
     let (mut head, body) = request.into_parts();
     let text = |name: &str| head.headers.get(name).map(|v| v.to_str().map_err(|_| StatusCode::BAD_REQUEST));
     let first = head.uri.path().trim_start_matches('/').split('/').next().unwrap_or_default();
     let class = text("x-priority-class").transpose()?.unwrap_or(first);
-    let class = driver.names.borrow().class(class).ok_or(StatusCode::NOT_FOUND)?;
-    let of_class = &driver.settings.classes[class];
+    let class = gate.names.class(class).ok_or(StatusCode::NOT_FOUND)?;
+    let of_class = &gate.settings.classes[class];
     if text("x-request-id").transpose()?.is_none_or(str::is_empty) {
         return Err(StatusCode::BAD_REQUEST);
     }
@@ -268,7 +279,7 @@
     let new = NewRequest {
         id: RequestId(0),
         class,
-        tenant: text("x-tenant-id").transpose()?.and_then(|t| driver.names.borrow().tenant(t)),
+        tenant: text("x-tenant-id").transpose()?.and_then(|t| gate.names.tenant(t)),
         time_left: patience.saturating_sub(ANSWER_WAY.min(patience / 10)).as_micros() as Micros,
         work: work.filter(|us| *us > 0),
         is_retry: text("x-retried").transpose()? == Some("1"),
