Test the real proxy over loopback sockets

22 tests against the program with stub backends, a stub discovery and callers on ports that the system picks: requests unchanged, bad input, outcome classes, idle connections, discovery, descriptors, SIGTERM, configuration. The caller that leaves with an attempt out is the regression test for the proxy that stood still.

Found while writing: a FIN may still be on its way when the stub says that it closed, so the test waits until the proxy has closed its side; what Socket::unread sees is a unit test of its own. Refusals of requests whose time is under half of what their class usually takes are the decisions' (HOPELESS), so the tests about silence use short aims.

--- a/src/bin/amberlever/socket.rs
+++ b/src/bin/amberlever/socket.rs
@@ -88,3 +88,36 @@
         Poll::Ready(SockRef::from(&*self.0).shutdown(std::net::Shutdown::Write))
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use std::io::Write;
+    use std::net::TcpListener;
+
+    use super::*;
+
+    #[test]
+    fn the_kernel_tells_what_lies_unread() {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+        runtime.block_on(async {
+            let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+            let stream = TcpStream::connect(listener.local_addr().expect("bound")).await.expect("listens");
+            let (mut other, _) = listener.accept().expect("connects");
+            let socket = Socket::new(stream);
+            assert_eq!(socket.unread(), Unread::Nothing);
+            other.write_all(b"x").expect("written");
+            // Even on loopback what was sent may take a moment to arrive.
+            while socket.unread() == Unread::Nothing {
+                std::thread::yield_now();
+            }
+            assert_eq!(socket.unread(), Unread::Data);
+            socket.0.readable().await.expect("ready");
+            assert_eq!(socket.0.try_read(&mut [0; 8]).ok(), Some(1));
+            drop(other);
+            while socket.unread() == Unread::Nothing {
+                std::thread::yield_now();
+            }
+            assert_eq!(socket.unread(), Unread::Closed);
+        });
+    }
+}
--- /dev/null
+++ b/tests/proxy.rs
@@ -0,0 +1,347 @@
+//! The real proxy on loopback sockets: what callers and backends see of it, one promise a test.
+mod stubs;
+
+use std::thread;
+use std::time::{Duration, Instant};
+
+use stubs::*;
+
+// ---- Requests and answers ----
+
+#[test]
+fn a_request_goes_on_unchanged_and_its_answer_comes_back() {
+    let backend = Backend::new([ok("done")]);
+    let proxy = Setup::of(&[&backend]).start();
+    let answer = proxy.ask(&put("id-1", "key-1", 9000, "what to do"));
+    assert_eq!((answer.status(), &answer.body[..]), (200, &b"done"[..]));
+    let (_, request) = backend.request();
+    assert_eq!(request.line, "POST /put/7f3a HTTP/1.1");
+    assert_eq!(request.header("X-Request-ID"), Some("id-1"));
+    assert_eq!(request.header("Idempotency-Key"), Some("key-1"));
+    assert_eq!(request.body, b"what to do");
+    let left: u64 = request.header("X-Timeout-Ms").expect("told").parse().expect("whole milliseconds");
+    assert!((1..9000).contains(&left), "{left}");
+
+    proxy.ask(&read("id-2", 9000));
+    let (_, request) = backend.request();
+    assert_eq!(request.line, "GET /read/7f3a?x=1 HTTP/1.1");
+    assert_eq!((request.header("Idempotency-Key"), request.body.len()), (None, 0));
+}
+
+#[test]
+fn bad_requests_are_turned_away_and_the_proxy_goes_on() {
+    let backend = Backend::new([ok("done")]);
+    let proxy = Setup::of(&[&backend]).start();
+    let good = read("id-1", 9000);
+    let long = "x".repeat((64 << 10) + 1);
+    let chunked = format!(
+        "{}Transfer-Encoding: chunked\r\n\r\n10001\r\n{long}\r\n0\r\n\r\n",
+        write("id", 9000, "").replace("Content-Length: 0\r\n\r\n", "")
+    );
+    let bad = [
+        (good.replace("Class: read", "Class: nobodys"), 404),
+        (good.replace("X-Priority-Class: read\r\n", "").replace("/read/", "/nobodys/"), 404),
+        (good.replace("Ms: 9000", "Ms: soon"), 400),
+        (good.replace("Ms: 9000", "Ms: 0"), 400),
+        (good.replace("Ms: 9000", "Ms: -5"), 400),
+        (good.replace("Ms: 9000", "Ms: 99999999999999999999999"), 400),
+        (good.replace("X-Request-ID: id-1\r\n", ""), 400),
+        (good.replace("GET", "POST"), 405),
+        (good.replace("GET", "G@T\0"), 400),
+        ("HELLO\r\n\r\n".to_owned(), 400),
+        (write("id-2", 9000, &long), 413),
+        (chunked, 413),
+    ];
+    for (request, status) in bad {
+        let answer = proxy.ask(&request);
+        assert_eq!(answer.status(), status, "{}", &request[..request.len().min(200)]);
+    }
+    // A caller that leaves in the middle of its request.
+    proxy.caller().send(&good[..good.len() / 2]);
+    assert_eq!(proxy.ask(&good).status(), 200);
+    assert_eq!(backend.requests().len(), 1, "nothing bad went on");
+}
+
+#[test]
+fn a_caller_without_a_timeout_or_class_header_is_served() {
+    let backend = Backend::new([ok("done")]);
+    let proxy = Setup::of(&[&backend]).start();
+    let request = read("id-1", 9000).replace("X-Timeout-Ms: 9000\r\n", "");
+    assert_eq!(proxy.ask(&request.replace("X-Priority-Class: read\r\n", "")).status(), 200);
+}
+
+#[test]
+fn health_is_good_once_there_is_a_list() {
+    let backend = Backend::new([ok("done")]);
+    let proxy = Setup::of(&[&backend]).start();
+    assert_eq!(proxy.ask("GET /healthz HTTP/1.1\r\nHost: n0\r\n\r\n").status(), 200);
+}
+
+// ---- What outcomes prove ----
+
+#[test]
+fn what_was_turned_away_unseen_goes_elsewhere() {
+    let (busy, free) = (Backend::new([full()]), Backend::new([ok("done")]));
+    let proxy = Setup::of(&[&busy, &free]).start();
+    for i in 0..4 {
+        assert_eq!(proxy.ask(&write(&format!("id-{i}"), 9000, "x")).status(), 200);
+    }
+    assert_eq!(free.requests().len(), 4);
+}
+
+#[test]
+fn nobody_listening_is_no_reason_to_fail() {
+    let free = Backend::new([ok("done")]);
+    let mut setup = Setup::of(&[&free]);
+    setup.hosts.push(host("s-dead", nobody(), "SERVING"));
+    let proxy = setup.start();
+    for i in 0..4 {
+        assert_eq!(proxy.ask(&write(&format!("id-{i}"), 9000, "x")).status(), 200);
+    }
+}
+
+#[test]
+fn a_break_after_the_request_may_have_run_and_is_not_repeated() {
+    let breaks = [
+        Deed::Break,
+        Deed::AnswerAndClose("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf".to_owned()),
+        Deed::AnswerAndClose("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n".to_owned()),
+        answer("500 Internal Server Error", "", ""),
+        answer("503 Service Unavailable", "", ""),
+    ];
+    for deed in breaks {
+        let backends = [Backend::new([deed.clone()]), Backend::new([deed.clone()])];
+        let proxy = Setup::of(&[&backends[0], &backends[1]]).start();
+        let answer = proxy.ask(&write("id-1", 9000, "x"));
+        assert_eq!(answer.status(), 502, "{deed:?}");
+        let sent: usize = backends.iter().map(|b| b.requests().len()).sum();
+        assert_eq!(sent, 1, "{deed:?}");
+    }
+}
+
+#[test]
+fn a_broken_answer_to_what_may_be_repeated_is_asked_for_again() {
+    let half = "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf".to_owned();
+    let backend = Backend::new([Deed::AnswerAndClose(half), ok("whole")]);
+    let proxy = Setup::of(&[&backend]).start();
+    let answer = proxy.ask(&read("id-1", 9000));
+    assert_eq!((answer.status(), &answer.body[..]), (200, &b"whole"[..]));
+}
+
+#[test]
+fn a_refusal_says_when_to_come_back_only_if_the_decisions_do() {
+    let backend = Backend::new([full()]);
+    let proxy = Setup::of(&[&backend]).start();
+    let answer = proxy.ask(&write("id-1", 9000, "x"));
+    assert_eq!(answer.status(), 503);
+    if let Some(wait) = answer.header("Retry-After") {
+        assert!(wait.parse::<f64>().expect("seconds") <= 2.0);
+    }
+}
+
+#[test]
+fn malformed_load_reports_are_logged_once_and_passed_over() {
+    let report = |json: &str| answer("200 OK", &format!("X-Server-Load: {json}\r\n"), "done");
+    let backend =
+        Backend::new([report("{\"depth\":"), report("[]"), report("{\"depth\":\"x\"}"), ok("done")]);
+    let proxy = Setup::of(&[&backend]).start();
+    for i in 0..4 {
+        assert_eq!(proxy.ask(&read(&format!("id-{i}"), 9000)).status(), 200);
+    }
+    assert_eq!(proxy.log().matches("malformed load report").count(), 1);
+}
+
+// ---- Ends ----
+
+#[test]
+fn a_silent_backend_costs_the_caller_no_more_than_its_time() {
+    let backend = Backend::new([Deed::Silence]);
+    let mut setup = Setup::of(&[&backend]);
+    setup.aim_ms = 2000;
+    let proxy = setup.start();
+    let answer = proxy.ask(&write("id-1", 1000, "x"));
+    assert_eq!(answer.status(), 504);
+    // Its connection is closed, so that the backend may stop.
+    backend.over();
+}
+
+#[test]
+fn a_caller_that_leaves_takes_its_attempt_along() {
+    let backend = Backend::new([Deed::Silence, ok("done")]);
+    let proxy = Setup::of(&[&backend]).start();
+    let mut caller = proxy.caller();
+    caller.send(&write("id-1", 9000, "x"));
+    let (number, _) = backend.request();
+    drop(caller);
+    assert_eq!(backend.over(), number);
+    // And the proxy goes on: once it stood still after a caller had left.
+    assert_eq!(proxy.ask(&read("id-2", 9000)).status(), 200);
+}
+
+#[test]
+fn a_request_is_answered_once_however_many_come_on_a_connection() {
+    let backend = Backend::new([ok("done")]);
+    let proxy = Setup::of(&[&backend]).start();
+    let mut caller = proxy.caller();
+    for i in 0..50 {
+        assert_eq!(caller.ask(&write(&format!("id-{i}"), 9000, "x")).status(), 200);
+        assert_eq!(backend.request().1.header("X-Request-ID"), Some(format!("id-{i}").as_str()));
+    }
+    assert!(backend.requests().is_empty());
+}
+
+// ---- Connections to backends ----
+
+#[test]
+fn a_connection_is_used_again_and_the_last_one_first() {
+    let backend = Backend::new([ok("done")]);
+    let proxy = Setup::of(&[&backend]).start();
+    for i in 0..5 {
+        proxy.ask(&read(&format!("id-{i}"), 9000));
+        assert_eq!(backend.request().0, 0);
+    }
+}
+
+#[test]
+fn idle_connections_are_closed_before_the_backend_would() {
+    let backend = Backend::new([ok("done")]);
+    let mut setup = Setup::of(&[&backend]);
+    setup.keepalive_ms = 1000;
+    let proxy = setup.start();
+    assert_eq!(proxy.ask(&read("id-1", 9000)).status(), 200);
+    // The stub backend never closes by itself.
+    assert_eq!(backend.over(), 0);
+}
+
+#[test]
+fn a_connection_that_the_backend_closed_loses_no_request() {
+    let text = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone".to_owned();
+    let backend = Backend::new([Deed::AnswerAndClose(text)]);
+    let proxy = Setup::of(&[&backend]).start();
+    for i in 0..20 {
+        assert_eq!(proxy.ask(&write(&format!("id-{i}"), 9000, "x")).status(), 200);
+        assert_eq!(backend.request().0, i, "each on a connection of its own");
+        backend.over();
+    }
+}
+
+// ---- Discovery ----
+
+#[test]
+fn a_watch_goes_on_and_what_drains_gets_nothing_new() {
+    let (old, new) = (Backend::new([ok("old")]), Backend::new([ok("new")]));
+    let proxy = Setup::of(&[&old]).start();
+    assert_eq!(proxy.ask(&write("id-0", 9000, "x")).body, b"old");
+    let discovery = &proxy.discovery;
+    assert_eq!(discovery.call(0).0, "/v1/servers?after=1&wait_ms=20000");
+    let hosts = [host("s-0", old.address, "DRAINING"), host("s-new", new.address, "SERVING")];
+    discovery.tell(News::List(list(2, false, &hosts)));
+    // The next call says that the list before has been taken in.
+    assert_eq!(discovery.call(1).0, "/v1/servers?after=2&wait_ms=20000");
+    for i in 1..6 {
+        assert_eq!(proxy.ask(&write(&format!("id-{i}"), 9000, "x")).body, b"new");
+    }
+    // A whole list leaves out what is gone, and may give another address.
+    let moved = Backend::new([ok("moved")]);
+    discovery.tell(News::List(list(3, true, &[host("s-new", moved.address, "SERVING")])));
+    discovery.call(2);
+    assert_eq!(proxy.ask(&write("id-6", 9000, "x")).body, b"moved");
+    discovery.tell(News::List(list(4, false, &[host("s-new", moved.address, "DELETED")])));
+    discovery.call(3);
+    assert_eq!(proxy.ask(&write("id-7", 9000, "x")).status(), 503);
+}
+
+#[test]
+fn a_failed_watch_is_asked_for_again_and_the_list_stays() {
+    let backend = Backend::new([ok("done")]);
+    let proxy = Setup::of(&[&backend]).start();
+    let discovery = &proxy.discovery;
+    discovery.call(0);
+    discovery.tell(News::Fails);
+    discovery.call(1);
+    for malformed in ["{\"seq\":", "[]", "{\"seq\":5,\"whole\":true,\"hosts\":[{\"host\":\"s-0\"}]}"] {
+        discovery.tell(News::List(malformed.to_owned()));
+    }
+    // Each of them ended a watch, and the decisions asked anew from the list that they have.
+    assert_eq!(discovery.call(4).0, "/v1/servers?after=1&wait_ms=20000");
+    assert_eq!(proxy.ask(&write("id-1", 9000, "x")).status(), 200);
+    assert_eq!(proxy.log().matches("malformed list").count(), 1);
+}
+
+// ---- Limits ----
+
+#[test]
+fn more_idle_callers_than_descriptors_shut_nobody_out() {
+    let backend = Backend::new([ok("done")]);
+    let mut setup = Setup::of(&[&backend]);
+    setup.sockets = 80;
+    let proxy = setup.start();
+    let mut callers: Vec<Caller> = (0..60).map(|_| proxy.caller()).collect();
+    for (i, caller) in callers.iter_mut().rev().take(10).enumerate() {
+        assert_eq!(caller.ask(&read(&format!("id-{i}"), 9000)).status(), 200);
+    }
+}
+
+#[test]
+fn more_busy_callers_than_descriptors_are_served_in_turn() {
+    let backend = Backend::new([Deed::Silence]);
+    let mut setup = Setup::of(&[&backend]);
+    setup.sockets = 80;
+    setup.aim_ms = 1000;
+    let proxy = setup.start();
+    let mut callers: Vec<Caller> = (0..40).map(|_| proxy.caller()).collect();
+    for (i, caller) in callers.iter_mut().enumerate() {
+        caller.send(&read(&format!("id-{i}"), 500));
+    }
+    let mut unheard = 0;
+    for (i, caller) in callers.iter_mut().enumerate() {
+        // One that was closed for want of room before its request was read asks again, as callers do.
+        let answer = caller.try_hear().unwrap_or_else(|| {
+            unheard += 1;
+            proxy.ask(&read(&format!("id-{i}-again"), 500))
+        });
+        assert!(matches!(answer.status(), 503 | 504));
+    }
+    assert!(unheard <= 40 - 16, "the room that there is is used: {unheard}");
+}
+
+// ---- The end of a proxy ----
+
+#[test]
+fn a_proxy_told_to_end_answers_what_it_holds_and_what_still_comes() {
+    let backend = Backend::new([Deed::Silence, ok("done")]);
+    let mut setup = Setup::of(&[&backend]);
+    setup.aim_ms = 3000;
+    let mut proxy = setup.start();
+    let mut idle = proxy.caller();
+    assert_eq!(idle.ask("GET /healthz HTTP/1.1\r\nHost: n0\r\n\r\n").status(), 200);
+    let mut held = proxy.caller();
+    held.send(&read("id-1", 2000));
+    backend.request();
+    let mut early = proxy.caller();
+    proxy.terminate();
+    // It says that it ends, and goes on accepting for a while.
+    let since = Instant::now();
+    while proxy.ask("GET /healthz HTTP/1.1\r\nHost: n0\r\n\r\n").status() == 200 {
+        assert!(since.elapsed() < PATIENCE);
+        thread::sleep(Duration::from_millis(5));
+    }
+    let answer = early.ask(&write("id-2", 2000, "x"));
+    assert_eq!((answer.status(), answer.header("Connection")), (200, Some("close")));
+    assert!(idle.is_closed());
+    assert!(!proxy.has_ended(), "a request is still held");
+    assert!(matches!(held.hear().status(), 503 | 504));
+    assert!(proxy.end().success());
+}
+
+#[test]
+fn a_missing_or_malformed_configuration_ends_the_program_with_one_line() {
+    let bad = [None, Some("{"), Some("{}"), Some(r#"{"listen":"nowhere"}"#)];
+    for config in bad {
+        let output = run(config).wait_with_output().expect("it ends");
+        let said = String::from_utf8(output.stderr).expect("text");
+        assert!(!output.status.success(), "{config:?}");
+        assert_eq!(said.trim_end().lines().count(), 1, "{said}");
+        assert!(said.starts_with("amberlever: "), "{said}");
+    }
+}
