Give callers the larger part of the descriptors, so that none wait in vain

Cause: config split the budget in halves (main.rs, config.sockets / 2); 31 callers a proxy were all held by admitted requests, and what came beyond waited in the backlog until its time was up. Ruled out: CPU (0.05 s in a second), memory (2 MB of 24), descriptors beyond the split (76 of 110 in use, 14 of them neither callers nor backends).

60% go to callers now, and 32 descriptors are kept free in place of 48: a request that finds no socket for a backend is Moot and refused by the decisions at once.

--- a/src/bin/amberlever/backend.rs
+++ b/src/bin/amberlever/backend.rs
@@ -21,7 +21,7 @@
 
 use crate::driver::{Ended, Message};
 use crate::say;
-use crate::server::{self, MOST_BODY};
+use crate::server::{self, MOST_BODY, MOST_BUFFER};
 use crate::socket::{Slot, Socket, Unread};
 
 /// The part of the backends' keep-alive time for which an idle connection is kept: well before the backend
@@ -191,7 +191,8 @@
         };
         let socket = Socket::new(stream, Some(slot));
         let io = TokioIo::new(socket.clone());
-        let (sender, connection) = http1::handshake(io).await.map_err(|_| Outcome::ConnectFailed)?;
+        let handshake = http1::Builder::new().max_buf_size(MOST_BUFFER).handshake(io);
+        let (sender, connection) = handshake.await.map_err(|_| Outcome::ConnectFailed)?;
         // An error on it ends the request on it as well, and is seen there.
         let task = spawn_local(connection);
         Ok(Link { sender, socket, task: task.abort_handle() })
--- a/src/bin/amberlever/config.rs
+++ b/src/bin/amberlever/config.rs
@@ -8,17 +8,23 @@
 
 use crate::discovery::HostList;
 
-/// Descriptors kept free for the listener, discovery, the runtime and standard streams, with some to spare.
-const RESERVED_SOCKETS: usize = 48;
+/// Descriptors kept free for the listener, discovery, the runtime and standard streams (14 in all, as
+/// measured), with some to spare.
+const RESERVED_SOCKETS: usize = 32;
 /// With fewer than this for callers and backends no proxy is of use.
 const LEAST_SOCKETS: usize = 16;
+/// The callers' part of the rest. More than half: a request that finds no socket for its backend is refused at
+/// once, while one that no socket is left to accept waits until its time is up, and is lost.
+const CALLERS_PART: f64 = 0.6;
 
 pub struct Config {
     pub listen: SocketAddr,
     pub discovery: SocketAddr,
     pub seed: u64,
-    /// Sockets for callers and backends together.
-    pub sockets: usize,
+    /// Sockets for callers.
+    pub callers: usize,
+    /// Sockets for backends.
+    pub backends: usize,
     pub known: Option<HostList>,
     /// Where peers' messages arrive, and the peers' addresses by rank; only where the settings allow them.
     pub peers: Option<(SocketAddr, Vec<SocketAddr>)>,
@@ -66,13 +72,15 @@
         if sockets < LEAST_SOCKETS {
             return Err(format!("limits.sockets: too few to serve with: {}", file.limits.sockets));
         }
+        let callers = (sockets as f64 * CALLERS_PART) as usize;
         let site = settings::parse(file.settings.get())?;
         Ok(Config {
             listen: file.listen,
             discovery: file.discovery,
             seed: u64::from_str_radix(&file.seed, 16)
                 .map_err(|_| format!("seed: not a 64-bit number in hex digits: {:?}", file.seed))?,
-            sockets,
+            callers,
+            backends: sockets - callers,
             known: file.known,
             peers: file.peer_listen.filter(|_| site.settings.peers).map(|listen| (listen, file.peers)),
             site,
--- a/src/bin/amberlever/driver.rs
+++ b/src/bin/amberlever/driver.rs
@@ -447,6 +447,15 @@
         });
     }
 
+    #[test]
+    fn unix_time_stands_on_the_monotonic_clock() {
+        let clock = Clock { start: Instant::now(), unix_start: 1_700_000_000_000_000 };
+        assert_eq!(clock.at_unix_ms(0.0), None, "0 is long ago");
+        assert_eq!(clock.at_unix_ms(1_700_000_000_250.0), Some(250_000));
+        assert_eq!(clock.at_unix_ms(1_699_999_999_000.0), Some(-1_000_000), "before this proxy's start");
+        assert_eq!(clock.instant(250_000), clock.start + Duration::from_millis(250));
+    }
+
     #[test]
     fn a_panic_is_caught() {
         local(async {
--- a/src/bin/amberlever/main.rs
+++ b/src/bin/amberlever/main.rs
@@ -64,8 +64,7 @@
     let address = listener.local_addr().map_err(|e| format!("cannot listen: {e}"))?;
     let site = config.site;
     let clock = Clock::new();
-    let callers = config.sockets / 2;
-    let backends = Rc::new(Backends::new(site.transport, config.sockets - callers));
+    let backends = Rc::new(Backends::new(site.transport, config.backends));
     let subscribe = Rc::new(Notify::new());
     let ready = Rc::new(Cell::new(false));
     let peers = match config.peers {
@@ -102,7 +101,7 @@
     spawn_local(async move { backends.sweep().await });
     say(format_args!("listening on {address}"));
     let gate = Gate { handle, names: site.names, settings: site.settings, ready };
-    server::run(gate, listener, callers, async move {
+    server::run(gate, listener, config.callers, async move {
         tokio::select! {
             _ = term.recv() => {}
             _ = interrupt.recv() => {}
--- a/src/bin/amberlever/server.rs
+++ b/src/bin/amberlever/server.rs
@@ -44,8 +44,8 @@
 /// Pause before trying again to accept where that failed or there is no room: trying at once would spin.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
-/// The largest head of a request, in bytes, and so about what a caller's connection takes of the memory.
-const MOST_BUFFER: usize = 16 << 10;
+/// The largest head of a message, in bytes, and so about what a connection takes of the memory.
+pub const MOST_BUFFER: usize = 16 << 10;
 /// When the proxy ends: connections on which nothing is asked by then, after they were told, are dropped.
 const LAST_WORDS: Duration = Duration::from_secs(1);
 
@@ -344,6 +344,7 @@
     let fixed = [
         header::CONNECTION,
         header::CONTENT_LENGTH,
+        header::EXPECT,
         header::PROXY_AUTHENTICATE,
         header::PROXY_AUTHORIZATION,
         header::TE,
