Do not spin on a discovery that does not wait; end its connection with the watch

Found by reading: a watch that is answered at once without news was followed by the next at loopback speed (discovery.rs, follow), and the connection's task was left to notice by itself that nobody used it. Such a watch now takes 100 ms at least, under the 200 ms in which the next call goes on with it, and the task ends with the watch. Test: ten empty answers take over half a second.

--- a/src/bin/amberlever/discovery.rs
+++ b/src/bin/amberlever/discovery.rs
@@ -17,8 +17,8 @@
 use serde::Deserialize;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
-use tokio::task::spawn_local;
-use tokio::time::{sleep, timeout};
+use tokio::task::JoinSet;
+use tokio::time::{sleep, sleep_until, timeout, Instant};
 
 use crate::backend::Backends;
 use crate::driver::{caught, Clock, Handle};
@@ -29,6 +29,9 @@
 const WAIT: Duration = Duration::from_secs(20);
 /// An answer that has not come by then, after the wait, will not come.
 const LATE: Duration = Duration::from_millis(2500);
+/// One without news that ends sooner is not followed by the next at once: guards against a discovery that does
+/// not wait. Far under the 200 ms within which the next call goes on with the same watch.
+const SHORTEST_WATCH: Duration = Duration::from_millis(100);
 /// Pause before asking again where lists are pushed and the decisions do not ask.
 const PUSHED_PAUSE: Duration = Duration::from_millis(250);
 /// The largest list that is read, in bytes.
@@ -161,18 +164,24 @@
             else {
                 return;
             };
-            spawn_local(connection);
+            let mut tasks = JoinSet::new();
+            tasks.spawn_local(connection);
             // Discovery may close a connection after an answer: the watch goes on over a new one.
             let mut answered = false;
             while !answered || sender.ready().await.is_ok() {
+                let asked = Instant::now();
                 let path = match self.seq {
                     Some(seq) => format!("/v1/servers?after={seq}&wait_ms={}", WAIT.as_millis()),
                     None => "/v1/servers".to_owned(),
                 };
                 let Ok(Some(list)) = timeout(WAIT + LATE, self.ask(&mut sender, &path)).await else { return };
+                let news = list.whole || !list.hosts.is_empty();
                 let scope = if list.whole { ListScope::Full } else { ListScope::Delta };
                 self.apply(list, scope);
                 answered = true;
+                if !news {
+                    sleep_until(asked + SHORTEST_WATCH).await;
+                }
             }
         }
     }
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -254,6 +254,19 @@
     assert_eq!(proxy.ask(&write("id-7", 9000, "x")).status(), 503);
 }
 
+#[test]
+fn a_discovery_that_does_not_wait_is_not_asked_in_a_spin() {
+    let backend = Backend::new([ok("done")]);
+    let proxy = Setup::of(&[&backend]).start();
+    let discovery = &proxy.discovery;
+    discovery.call(0);
+    for _ in 0..10 {
+        discovery.tell(News::List(list(1, false, &[])));
+    }
+    let (first, last) = (discovery.call(1).1, discovery.call(10).1);
+    assert!(last - first > Duration::from_millis(500), "{:?}", last - first);
+}
+
 #[test]
 fn what_waits_for_a_connection_is_not_written_once_its_backend_drains() {
     // A backend that lets no connection come up: its backlog is full.
