--- a/src/bin/amberlever/server.rs
+++ b/src/bin/amberlever/server.rs
@@ -357,3 +357,52 @@
         headers.remove(name);
     });
 }
+
+#[cfg(test)]
+mod tests {
+    use std::io::{BufRead, BufReader, Write};
+
+    use amberlever::settings;
+    use tokio::sync::oneshot;
+    use tokio::task::LocalSet;
+
+    use super::*;
+    use crate::backend::Backends;
+    use crate::driver::{Clock, Driver};
+
+    const SETTINGS: &str = r#"{"balancers":1,"stages":["front"],"limits":{"max_attempts":3},
+        "request_classes":[{"name":"read","promise_ms":9000,"deadline_ms":9000,"semantics":"idempotent"}]}"#;
+
+    #[test]
+    fn what_the_decisions_leave_open_fails_before_its_time_is_up() {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+        LocalSet::new().block_on(&runtime, async {
+            let site = settings::parse(SETTINGS).expect("settings");
+            let backends = Rc::new(Backends::new(site.transport, 9));
+            // This driver never runs, so nothing is ever decided.
+            let driver = Driver::new(site.settings.clone(), 7, Clock::new(), backends, None, Rc::default());
+            let gate = Gate {
+                handle: driver.handle(),
+                names: site.names,
+                settings: site.settings,
+                ready: Rc::default(),
+            };
+            let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+            let address = listener.local_addr().expect("bound");
+            let (answered, answer) = oneshot::channel();
+            std::thread::spawn(move || {
+                let mut stream = std::net::TcpStream::connect(address).expect("listens");
+                let request = "GET /read/1 HTTP/1.1\r\nX-Request-ID: 1\r\nX-Timeout-Ms: 300\r\n\r\n";
+                stream.write_all(request.as_bytes()).expect("written");
+                let mut line = String::new();
+                BufReader::new(stream).read_line(&mut line).expect("an answer");
+                let _ = answered.send(line);
+            });
+            let line = tokio::select! {
+                line = answer => line.expect("heard"),
+                () = run(gate, listener, 9, std::future::pending()) => unreachable!("it is not told to end"),
+            };
+            assert_eq!(line.trim_end(), "HTTP/1.1 504 Gateway Timeout");
+        });
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! [`Balancer`] is one proxy's decision maker: it is told what happens ([`Event`]), and says what to do
 //! ([`Action`]). It reads no clock, does no I/O and shares nothing, so equal events give equal actions.
+//! [`settings`] reads what a deployment writes into what a balancer is told.
 //!
 //! A proxy's life, with one server and one request:
 //!
