After a panic, let the old balancer's timers come to nothing

Found by reading start_anew: timers that the old balancer had set still came to the new one, whose answer to its period's timer is the next, so the cursor would have stepped twice as often from then on; and a balancer that panics on the list itself would have been given it for ever. Timers carry the seed of the balancer that set them, and the list is handed over once. The unit test of the panic shows the first. The tests send SIGTERM by the shell's own kill.

--- a/src/bin/amberlever/driver.rs
+++ b/src/bin/amberlever/driver.rs
@@ -91,7 +91,8 @@
     /// An attempt of a request that is over was called off: where to, and when it was sent.
     Dropped(RequestId, usize, BackendId, Micros),
     ClientGone(RequestId),
-    Timer(u64),
+    /// Set by the balancer of this seed, with this token.
+    Timer(u64, u64),
     Told(u32, Vec<u8>),
     Probed {
         backend: BackendId,
@@ -214,8 +215,10 @@
         while let Some(input) = self.arriving.recv().await {
             self.following.push_back(input);
             while let Some(input) = self.following.pop_front() {
+                // A new balancer that panics on the very list does not get it again.
+                let relisted = matches!(input, Input::Backends(ListScope::Cached, _));
                 if catch_unwind(AssertUnwindSafe(|| self.take(input))).is_err() {
-                    self.start_anew();
+                    self.start_anew(!relisted);
                 }
             }
         }
@@ -223,7 +226,7 @@
 
     /// Guards against a panic: what the decisions held may be half changed, so all that is open fails, and a
     /// new balancer goes on from the list as it stands.
-    fn start_anew(&mut self) {
+    fn start_anew(&mut self, with_list: bool) {
         say(format_args!("the decisions panicked: failing what is open and starting anew"));
         self.following.clear();
         for open in std::mem::take(&mut self.open).into_values() {
@@ -232,7 +235,9 @@
         }
         self.seed = self.seed.wrapping_add(1);
         self.balancer = Balancer::new(self.settings.clone(), self.seed);
-        self.following.push_back(Input::Backends(ListScope::Cached, self.backends.entries()));
+        if with_list {
+            self.following.push_back(Input::Backends(ListScope::Cached, self.backends.entries()));
+        }
     }
 
     // ---- Events ----
@@ -255,7 +260,9 @@
                     self.drop_attempts(id, open.attempts);
                 }
             }
-            Input::Timer(token) => self.decide(Event::Timer(token)),
+            // A timer of a balancer that has gone would set off a second round of them in the new one.
+            Input::Timer(seed, token) if seed == self.seed => self.decide(Event::Timer(token)),
+            Input::Timer(..) => {}
             Input::Told(from, payload) => self.decide(Event::Told { from, payload: &payload }),
             Input::Probed { backend, sent, ended } => {
                 let (took, report) = (self.clock.now() - sent, ended.report);
@@ -316,10 +323,10 @@
                 }
             }
             Action::Timer { at, token } => {
-                let (handle, at) = (self.handle(), self.clock.instant(at));
+                let (handle, at, seed) = (self.handle(), self.clock.instant(at), self.seed);
                 spawn_local(async move {
                     tokio::time::sleep_until(at).await;
-                    handle.tell(Input::Timer(token));
+                    handle.tell(Input::Timer(seed, token));
                 });
             }
             Action::Subscribe => self.subscribe.notify_one(),
@@ -400,6 +407,7 @@
 mod tests {
     use amberlever::settings::Transport;
     use tokio::task::LocalSet;
+    use tokio::time::timeout;
 
     use super::*;
 
@@ -424,9 +432,20 @@
             let (answer, receiver) = oneshot::channel();
             let open = Open { message: Rc::default(), answer, attempts: Vec::new(), timed_out: false };
             driver.open.insert(RequestId(1), open);
-            driver.start_anew();
+            let seed = driver.seed;
+            driver.start_anew(true);
             assert!(matches!(receiver.await, Ok(Answer::Failed)));
-            assert!(matches!(driver.following.pop_front(), Some(Input::Backends(ListScope::Cached, _))));
+            let Some(list @ Input::Backends(ListScope::Cached, _)) = driver.following.pop_front() else {
+                panic!("no list")
+            };
+            // The new balancer starts its own timers, and those of the old one come to nothing.
+            driver.take(list);
+            let Some(Input::Timer(new, token)) = driver.arriving.recv().await else { panic!("no timer") };
+            assert_ne!(new, seed);
+            driver.take(Input::Timer(seed, token));
+            assert!(timeout(Duration::from_secs(1), driver.arriving.recv()).await.is_err());
+            driver.take(Input::Timer(new, token));
+            assert!(matches!(driver.arriving.recv().await, Some(Input::Timer(..))));
         });
     }
 
--- a/tests/stubs/mod.rs
+++ b/tests/stubs/mod.rs
@@ -383,9 +383,8 @@
     }
 
     pub fn terminate(&self) {
-        let pid = self.child.id().to_string();
-        let killed = Command::new("kill").args(["-TERM", &pid]).status().expect("kill runs");
-        assert!(killed.success());
+        let kill = format!("kill -TERM {}", self.child.id());
+        assert!(Command::new("sh").args(["-c", &kill]).status().expect("a shell").success());
     }
 
     pub fn has_ended(&mut self) -> bool {
