On SIGHUP read the configuration again and move the watch, instead of ending

Cause: main.rs set up SIGTERM and SIGINT only, and SIGHUP's default action ends the process.

Now `reload` reads the file again and hands discovery's address to the watch, which turns to it at once (discovery.rs waited for the old one's answer, up to 20 s) and asks for a whole list, since the new one may count its versions in its own way. List, ids, connections and open requests stay. Only `discovery` applies: listen address, limits, settings and peers stand with sockets and figures in use. A file that can't be read costs a line. The address it has already restarts no watch. The test covers all of these but the line's count.

--- a/src/bin/amberlever/discovery.rs
+++ b/src/bin/amberlever/discovery.rs
@@ -16,7 +16,7 @@
 use hyper_util::rt::TokioIo;
 use serde::Deserialize;
 use tokio::net::TcpStream;
-use tokio::sync::Notify;
+use tokio::sync::{watch, Notify};
 use tokio::task::JoinSet;
 use tokio::time::{sleep, sleep_until, timeout, Instant};
 
@@ -73,7 +73,8 @@
 
 /// Keeps the list of backends up to date.
 pub struct Discovery {
-    pub address: SocketAddr,
+    /// Where it is; changes when the configuration is read again.
+    pub address: watch::Receiver<SocketAddr>,
     pub clock: Clock,
     pub names: Names,
     pub handle: Handle,
@@ -87,6 +88,11 @@
     pub complained: bool,
 }
 
+/// Waits for another address. False once there will be none.
+async fn changed(address: &mut watch::Receiver<SocketAddr>) -> bool {
+    address.changed().await.is_ok()
+}
+
 impl Discovery {
     /// Hands over the list as last known, then watches whenever that is asked for. A failure ends a watch and
     /// is told; asking again is up to the decisions.
@@ -96,13 +102,35 @@
         } else {
             self.handle.backends(ListScope::Cached, Vec::new());
         }
+        let mut address = self.address.clone();
         loop {
-            match &self.subscribe {
-                Some(asked) => asked.notified().await,
-                None => sleep(PUSHED_PAUSE).await,
-            }
-            if caught(self.follow()).await.is_none() {
-                say(format_args!("the watch panicked"));
+            let asked = async {
+                match &self.subscribe {
+                    Some(asked) => asked.notified().await,
+                    None => sleep(PUSHED_PAUSE).await,
+                }
+            };
+            let mut moved = tokio::select! {
+                () = asked => false,
+                true = changed(&mut address) => true,
+            };
+            loop {
+                if moved {
+                    // The new one may count its versions in its own way: only a whole list says where it is.
+                    self.seq = None;
+                }
+                let ended = tokio::select! {
+                    ended = caught(self.follow()) => ended,
+                    // Guards against a wait of many seconds for an answer from the one that is to go.
+                    true = changed(&mut address) => {
+                        moved = true;
+                        continue;
+                    }
+                };
+                if ended.is_none() {
+                    say(format_args!("the watch panicked"));
+                }
+                break;
             }
             self.handle.backends(ListScope::Failed, Vec::new());
         }
@@ -158,7 +186,8 @@
     /// Watches until something fails.
     async fn follow(&mut self) {
         loop {
-            let Ok(Ok(stream)) = timeout(LATE, TcpStream::connect(self.address)).await else { return };
+            let address = *self.address.borrow();
+            let Ok(Ok(stream)) = timeout(LATE, TcpStream::connect(address)).await else { return };
             let Ok((mut sender, connection)) =
                 http1::handshake(TokioIo::new(Socket::new(stream, None))).await
             else {
--- a/src/bin/amberlever/main.rs
+++ b/src/bin/amberlever/main.rs
@@ -16,12 +16,13 @@
 use std::cell::Cell;
 use std::collections::BTreeMap;
 use std::io::Write;
+use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::rc::Rc;
 
 use tokio::net::TcpListener;
-use tokio::signal::unix::{signal, SignalKind};
-use tokio::sync::Notify;
+use tokio::signal::unix::{signal, Signal, SignalKind};
+use tokio::sync::{watch, Notify};
 use tokio::task::{spawn_local, LocalSet};
 
 use crate::backend::Backends;
@@ -54,10 +55,29 @@
     let _ = writeln!(std::io::stderr(), "{line}");
 }
 
+/// On each SIGHUP reads the configuration again and tells of the address of discovery, all that a running
+/// proxy takes from it: the rest stands with sockets and figures in use, and is for the next start.
+async fn reload(mut hangup: Signal, discovery: watch::Sender<SocketAddr>) {
+    while hangup.recv().await.is_some() {
+        match Config::from_env() {
+            Ok(config) => {
+                say(format_args!("configuration read again: discovery is at {}", config.discovery));
+                discovery.send_if_modified(|address| {
+                    let before = std::mem::replace(address, config.discovery);
+                    before != config.discovery
+                });
+            }
+            Err(fault) => say(format_args!("going on with the old configuration: {fault}")),
+        }
+    }
+}
+
 /// Runs until SIGTERM or SIGINT, and then until all that was taken has its answer.
 async fn serve(config: Config) -> Result<(), String> {
     let mut term = signal(SignalKind::terminate()).map_err(|e| format!("no signals: {e}"))?;
     let mut interrupt = signal(SignalKind::interrupt()).map_err(|e| format!("no signals: {e}"))?;
+    // From here on SIGHUP no longer ends the process, which is what it does by itself.
+    let hangup = signal(SignalKind::hangup()).map_err(|e| format!("no signals: {e}"))?;
     let listener = TcpListener::bind(config.listen)
         .await
         .map_err(|e| format!("cannot listen on {}: {e}", config.listen))?;
@@ -84,8 +104,9 @@
         let handle = handle.clone();
         spawn_local(async move { peers.receive(handle).await });
     }
+    let (moved, address_of_discovery) = watch::channel(config.discovery);
     let discovery = Discovery {
-        address: config.discovery,
+        address: address_of_discovery,
         clock,
         names: site.names.clone(),
         handle: handle.clone(),
@@ -99,6 +120,7 @@
     spawn_local(driver.run());
     spawn_local(discovery.run(config.known));
     spawn_local(async move { backends.sweep().await });
+    spawn_local(reload(hangup, moved));
     say(format_args!("listening on {address}"));
     let gate = Gate { handle, names: site.names, settings: site.settings, ready };
     server::run(gate, listener, config.callers, async move {
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -323,6 +323,43 @@
     assert_eq!(proxy.log().matches("malformed list").count(), 1);
 }
 
+#[test]
+fn a_new_configuration_moves_the_watch_and_keeps_all_else() {
+    let (old, new) = (Backend::new([ok("old"), Deed::Silence]), Backend::new([ok("new")]));
+    let setup = Setup::of(&[&old]);
+    let first = setup.config(nobody());
+    let proxy = setup.start();
+    proxy.discovery.call(0);
+    let mut caller = proxy.caller();
+    assert_eq!(caller.ask(&read("id-1", 9000)).body, b"old");
+    let mut held = proxy.caller();
+    held.send(&write("id-2", 9000, "x"));
+    // Both went over one connection to the backend, which is kept, too.
+    assert_eq!((old.request().0, old.request().0), (0, 0));
+    // What can't be read changes nothing, and the program goes on.
+    proxy.reload("{");
+    proxy.says("old configuration");
+
+    let moved = Discovery::new();
+    let second = Setup::of(&[&old]).config(moved.address);
+    assert_ne!(first, second);
+    proxy.reload(&second);
+    // At once, from the start: the versions of the new one are its own.
+    assert_eq!(moved.call(0).0, "/v1/servers");
+    moved.tell(News::List(list(
+        1,
+        true,
+        &[host("s-0", old.address, "DRAINING"), host("s-1", new.address, "SERVING")],
+    )));
+    assert_eq!(moved.call(1).0, "/v1/servers?after=1&wait_ms=20000");
+    assert_eq!(caller.ask(&read("id-3", 9000)).body, b"new");
+    // The same address again is no reason to begin anew.
+    proxy.reload(&second);
+    moved.tell(News::List(list(2, false, &[])));
+    assert_eq!(moved.call(2).0, "/v1/servers?after=2&wait_ms=20000");
+    assert!(old.requests().is_empty());
+}
+
 // ---- Peers ----
 
 #[test]
--- a/tests/stubs/mod.rs
+++ b/tests/stubs/mod.rs
@@ -324,7 +324,8 @@
     pub fn start(self) -> Proxy {
         let discovery = Discovery::new();
         let config = self.config(discovery.address);
-        let mut child = run(Some(&config), self.descriptors);
+        let path = kept(&config);
+        let mut child = run_with(Some(&path), self.descriptors);
         let mut errors = BufReader::new(child.stderr.take().expect("piped"));
         let mut line = String::new();
         errors.read_line(&mut line).expect("text");
@@ -339,23 +340,32 @@
                 kept.lock().expect("unpoisoned").push_str(&(line + "\n"));
             }
         });
-        Proxy { address, discovery, log, child }
+        Proxy { address, discovery, path, log, child }
     }
 }
 
 static CONFIGS: AtomicU32 = AtomicU32::new(0);
 
+/// Writes a configuration to a file of its own.
+fn kept(config: &str) -> PathBuf {
+    let number = CONFIGS.fetch_add(1, Ordering::Relaxed);
+    let name = format!("amberlever-test-{}-{number}.json", std::process::id());
+    let path: PathBuf = [env!("CARGO_TARGET_TMPDIR"), &name].iter().collect();
+    std::fs::write(&path, config).expect("written");
+    path
+}
+
 /// Starts the program with this configuration, or with none, and with so many descriptors at most.
 pub fn run(config: Option<&str>, descriptors: Option<u32>) -> Child {
+    run_with(config.map(kept).as_ref(), descriptors)
+}
+
+fn run_with(path: Option<&PathBuf>, descriptors: Option<u32>) -> Child {
     let mut command = Command::new("sh");
     let limit = descriptors.map_or(String::new(), |n| format!("ulimit -n {n} && "));
     command.args(["-c", &format!("{limit}exec \"$0\""), env!("CARGO_BIN_EXE_amberlever")]);
     command.env_remove("LB_CONFIG").stderr(Stdio::piped());
-    if let Some(config) = config {
-        let number = CONFIGS.fetch_add(1, Ordering::Relaxed);
-        let name = format!("amberlever-test-{}-{number}.json", std::process::id());
-        let path: PathBuf = [env!("CARGO_TARGET_TMPDIR"), &name].iter().collect();
-        std::fs::write(&path, config).expect("written");
+    if let Some(path) = path {
         command.env("LB_CONFIG", path);
     }
     command.spawn().expect("the proxy starts")
@@ -364,6 +374,8 @@
 pub struct Proxy {
     pub address: SocketAddr,
     pub discovery: Discovery,
+    /// Of its configuration.
+    pub path: PathBuf,
     log: Arc<Mutex<String>>,
     child: Child,
 }
@@ -378,12 +390,32 @@
         self.caller().ask(request)
     }
 
+    /// Waits until the log says this.
+    #[track_caller]
+    pub fn says(&self, words: &str) {
+        let since = Instant::now();
+        while !self.log().contains(words) {
+            assert!(since.elapsed() < PATIENCE, "not said: {words}");
+            thread::sleep(Duration::from_millis(5));
+        }
+    }
+
     pub fn log(&self) -> String {
         self.log.lock().expect("unpoisoned").clone()
     }
 
     pub fn terminate(&self) {
-        let kill = format!("kill -TERM {}", self.child.id());
+        self.signal("TERM");
+    }
+
+    /// Replaces the configuration and says so.
+    pub fn reload(&self, config: &str) {
+        std::fs::write(&self.path, config).expect("written");
+        self.signal("HUP");
+    }
+
+    fn signal(&self, name: &str) {
+        let kill = format!("kill -{name} {}", self.child.id());
         assert!(Command::new("sh").args(["-c", &kill]).status().expect("a shell").success());
     }
 
