Bound heads and bodies, and turn away what must not be served or passed on

Seen by reading and by the new tests, each of which fails without the mend: - nothing ended a connection that said nothing or half a head: serve() set no timer. `look` drops one whose head has not come 2 s after its start, or after the head's first byte on later requests; idle and busy ones stay. - read() let a body take the caller's own X-Timeout-Ms: a request now has 2.5 s from its first byte. - hyper hides Content-Length beside Transfer-Encoding. The socket keeps the raw head, `framing` reads it with httparse, which hyper itself uses, and such a request gets 400 and a close. What follows a request (one is allowed at a time) makes it 400 as well; a chunked one ends its connection. - a repeated header, a malformed id, the id of an open request (409), +480 or two X-Timeout-Ms, unknown tenants, a keyed class without its key, a path of another class, a GET with a body, an absolute URI. Every 4xx closes its connection. Reading requests is a file of its own now.

--- a/src/bin/amberlever/backend.rs
+++ b/src/bin/amberlever/backend.rs
@@ -20,8 +20,9 @@
 use tokio::time::{timeout_at, Instant};
 
 use crate::driver::{Ended, Message};
+use crate::request::{self, MOST_BODY};
 use crate::say;
-use crate::server::{self, MOST_BODY, MOST_BUFFER};
+use crate::server::MOST_BUFFER;
 use crate::socket::{Slot, Socket, Unread};
 
 /// The part of the backends' keep-alive time for which an idle connection is kept: well before the backend
@@ -252,7 +253,7 @@
             }
             let mut message = (*order.message).clone();
             let left = HeaderValue::from(left.as_millis().max(1) as u64);
-            message.headers_mut().insert(server::TIMEOUT, left);
+            message.headers_mut().insert(request::TIMEOUT, left);
             written.set(true);
             let before = link.socket.written();
             let response = match link.sender.try_send_request(message).await {
@@ -290,7 +291,7 @@
                 let mut answer = None;
                 if outcome == Outcome::Ok {
                     let mut headers = head.headers;
-                    server::remove_hop_by_hop(&mut headers);
+                    request::remove_hop_by_hop(&mut headers);
                     headers.remove(LOAD_HEADER);
                     answer = Some((headers, body.to_bytes()));
                 }
--- a/src/bin/amberlever/main.rs
+++ b/src/bin/amberlever/main.rs
@@ -1,7 +1,7 @@
 //! The real proxy: one process on real sockets, around the decisions of the library.
 //!
-//! `main` reads the configuration and waits for the signal to end, [`server`] talks to callers, [`backend`]
-//! to backends, [`discovery`] to the list of them and [`peers`] to the other proxies of the tier. [`driver`]
+//! `main` reads the configuration and waits for the signal to end, [`server`] talks to callers, whose
+//! requests [`request`] reads, [`backend`] to backends, [`discovery`] to the list of them and [`peers`] to the other proxies of the tier. [`driver`]
 //! stands between these and the decisions.
 #![forbid(unsafe_code)]
 
@@ -10,6 +10,7 @@
 mod discovery;
 mod driver;
 mod peers;
+mod request;
 mod server;
 mod socket;
 
@@ -30,6 +31,7 @@
 use crate::discovery::Discovery;
 use crate::driver::{Clock, Driver};
 use crate::peers::Peers;
+use crate::request::Ids;
 use crate::server::Gate;
 
 fn main() -> ExitCode {
@@ -122,7 +124,7 @@
     spawn_local(async move { backends.sweep().await });
     spawn_local(reload(hangup, moved));
     say(format_args!("listening on {address}"));
-    let gate = Gate { handle, names: site.names, settings: site.settings, ready };
+    let gate = Gate { handle, names: site.names, settings: site.settings, ids: Ids::default(), ready };
     server::run(gate, listener, config.callers, async move {
         tokio::select! {
             _ = term.recv() => {}
--- /dev/null
+++ b/src/bin/amberlever/request.rs
@@ -0,0 +1,205 @@
+//! Requests of callers: read whole and checked, or turned away before anything is sent on for them.
+
+use std::cell::RefCell;
+use std::collections::BTreeSet;
+use std::rc::Rc;
+use std::time::Duration;
+
+use amberlever::interface::*;
+use amberlever::settings::Names;
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::body::{Body, Incoming};
+use hyper::header::{self, HeaderName};
+use hyper::{HeaderMap, Method, Request, StatusCode};
+use tokio::time::{timeout_at, Instant};
+
+use crate::driver::Message;
+use crate::socket::{Socket, Unread};
+
+/// The largest body of a request or an answer.
+pub const MOST_BODY: usize = 64 << 10;
+/// How long the client waits, in milliseconds.
+pub const TIMEOUT: &str = "x-timeout-ms";
+const ID: &str = "x-request-id";
+const KEY: &str = "idempotency-key";
+
+/// The longest wait that makes sense, in milliseconds.
+const MOST_TIMEOUT: u64 = 24 * 3600 * 1000;
+/// A request has come whole within this time from its first byte: guards against callers that send without
+/// end, or less than they said. A body is at most 64 KiB.
+const WHOLE: Duration = Duration::from_millis(2500);
+/// The longest id or key of a request.
+const MOST_ID: usize = 128;
+/// As many headers as hyper reads.
+const MOST_HEADERS: usize = 100;
+
+/// A request that can be served.
+pub struct Sound {
+    pub new: NewRequest,
+    pub message: Message,
+    /// How long the client waits.
+    pub patience: Duration,
+    /// Keeps its id from being used a second time for as long as it is open.
+    pub claim: Claim,
+}
+
+/// The ids of open requests.
+#[derive(Clone, Default)]
+pub struct Ids(Rc<RefCell<BTreeSet<String>>>);
+
+/// Holds an id.
+pub struct Claim(Ids, String);
+
+impl Ids {
+    /// None where an open request has this id: a second one could be given the answer to the first, or call
+    /// it off at a backend that knows requests by their ids.
+    fn claim(&self, id: &str) -> Option<Claim> {
+        self.0.borrow_mut().insert(id.to_owned()).then(|| Claim(self.clone(), id.to_owned()))
+    }
+}
+
+impl Drop for Claim {
+    fn drop(&mut self) {
+        self.0 .0.borrow_mut().remove(&self.1);
+    }
+}
+
+/// Reads a request whole, or says with which status to turn it away.
+pub async fn read(
+    names: &Names,
+    settings: &Settings,
+    ids: &Ids,
+    socket: &Socket,
+    request: Request<Incoming>,
+) -> Result<Sound, StatusCode> {
+    let began = socket.since().unwrap_or_else(Instant::now);
+    let chunked = request.headers().contains_key(header::TRANSFER_ENCODING);
+    let raw = socket.take_head();
+    let head_length = framing(&raw, chunked).ok_or(StatusCode::BAD_REQUEST)?;
+    let (mut head, body) = request.into_parts();
+    let one = |name: &str| one(&head.headers, name);
+    if head.uri.authority().is_some() {
+        return Err(StatusCode::BAD_REQUEST);
+    }
+    let first = head.uri.path().trim_start_matches('/').split('/').next().unwrap_or_default();
+    let named = one("x-priority-class")?.unwrap_or(first);
+    let class = names.class(named).ok_or(StatusCode::NOT_FOUND)?;
+    if names.class(first).is_some_and(|of_path| of_path != class) {
+        return Err(StatusCode::BAD_REQUEST);
+    }
+    let of_class = &settings.classes[class];
+    let id = one(ID)?.filter(|id| is_name(id)).ok_or(StatusCode::BAD_REQUEST)?.to_owned();
+    let method = match of_class.semantics {
+        Semantics::Idempotent => Method::GET,
+        Semantics::Deduplicated { .. } | Semantics::AtMostOnce => Method::POST,
+    };
+    if head.method != method {
+        return Err(StatusCode::METHOD_NOT_ALLOWED);
+    }
+    let key = one(KEY)?;
+    let keyed = matches!(of_class.semantics, Semantics::Deduplicated { .. });
+    if key.map_or(keyed, |key| !is_name(key)) {
+        return Err(StatusCode::BAD_REQUEST);
+    }
+    let ms = match one(TIMEOUT)? {
+        Some(ms) => whole(ms).filter(|ms| (1..=MOST_TIMEOUT).contains(ms)).ok_or(StatusCode::BAD_REQUEST)?,
+        None => (of_class.deadline / 1000).clamp(1, MOST_TIMEOUT as i64) as u64,
+    };
+    let patience = Duration::from_millis(ms);
+    let tenant = match one("x-tenant-id")? {
+        // Where there are no tenants the name says nothing.
+        Some(name) if !settings.tenants.is_empty() => {
+            Some(names.tenant(name).ok_or(StatusCode::BAD_REQUEST)?)
+        }
+        _ => None,
+    };
+    let new = NewRequest {
+        id: RequestId(0),
+        class,
+        tenant,
+        time_left: 0,
+        work: one("x-cost")?.and_then(whole).and_then(|us| us.try_into().ok()).filter(|us| *us > 0),
+        is_retry: one("x-retried")? == Some("1"),
+    };
+    if head.method == Method::GET && body.size_hint().exact() != Some(0) {
+        return Err(StatusCode::BAD_REQUEST);
+    }
+    if body.size_hint().lower() > MOST_BODY as u64 {
+        return Err(StatusCode::PAYLOAD_TOO_LARGE);
+    }
+    let until = began + WHOLE.min(patience);
+    let body = timeout_at(until, Limited::new(body, MOST_BODY).collect());
+    let body = body.await.map_err(|_| StatusCode::REQUEST_TIMEOUT)?.map_err(|e| {
+        if e.is::<LengthLimitError>() {
+            StatusCode::PAYLOAD_TOO_LARGE
+        } else {
+            StatusCode::BAD_REQUEST
+        }
+    })?;
+    let body = body.to_bytes();
+    // A caller sends one request at a time: what comes along with this one was miscounted or is hidden in it.
+    let counted = (head_length + body.len()) as u64;
+    if !chunked && socket.bytes_in() > counted || socket.unread() == Unread::Data {
+        return Err(StatusCode::BAD_REQUEST);
+    }
+    let claim = ids.claim(&id).ok_or(StatusCode::CONFLICT)?;
+    remove_hop_by_hop(&mut head.headers);
+    head.extensions.clear();
+    head.version = hyper::Version::HTTP_11;
+    Ok(Sound { new, message: Request::from_parts(head, Full::new(body)), patience, claim })
+}
+
+/// The length of a head as it came; None where its body has two lengths, of which hyper shows only one: readers
+/// that choose otherwise would find another request in it.
+fn framing(raw: &[u8], chunked: bool) -> Option<usize> {
+    let mut headers = [httparse::EMPTY_HEADER; MOST_HEADERS];
+    let mut head = httparse::Request::new(&mut headers);
+    let Ok(httparse::Status::Complete(length)) = head.parse(raw) else { return None };
+    let measured = head.headers.iter().any(|h| h.name.eq_ignore_ascii_case("content-length"));
+    (!(chunked && measured)).then_some(length)
+}
+
+/// The one value of a header, if it is there; repeated ones could be read in two ways.
+fn one<'a>(headers: &'a HeaderMap, name: &str) -> Result<Option<&'a str>, StatusCode> {
+    let mut values = headers.get_all(name).iter();
+    let first = values.next();
+    if values.next().is_some() {
+        return Err(StatusCode::BAD_REQUEST);
+    }
+    first.map(|v| v.to_str()).transpose().map_err(|_| StatusCode::BAD_REQUEST)
+}
+
+/// An id or a key: printable, with nothing in it that ends or divides a value.
+fn is_name(text: &str) -> bool {
+    (1..=MOST_ID).contains(&text.len()) && text.bytes().all(|b| b.is_ascii_graphic() && b != b',')
+}
+
+/// A whole number in plain digits.
+fn whole(text: &str) -> Option<u64> {
+    text.bytes().all(|b| b.is_ascii_digit()).then(|| text.parse().ok())?
+}
+
+/// Removes what speaks of one connection only, and what hyper writes anew.
+pub fn remove_hop_by_hop(headers: &mut HeaderMap) {
+    let named: Vec<HeaderName> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|v| v.to_str().ok())
+        .flat_map(|v| v.split(',').filter_map(|name| name.trim().parse().ok()))
+        .collect();
+    let fixed = [
+        header::CONNECTION,
+        header::CONTENT_LENGTH,
+        header::EXPECT,
+        header::PROXY_AUTHENTICATE,
+        header::PROXY_AUTHORIZATION,
+        header::TE,
+        header::TRAILER,
+        header::TRANSFER_ENCODING,
+        header::UPGRADE,
+        HeaderName::from_static("keep-alive"),
+    ];
+    named.iter().chain(&fixed).for_each(|name| {
+        headers.remove(name);
+    });
+}
--- a/src/bin/amberlever/server.rs
+++ b/src/bin/amberlever/server.rs
@@ -11,36 +11,35 @@
 use amberlever::interface::*;
 use amberlever::settings::Names;
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
-use hyper::body::{Body, Incoming};
-use hyper::header::{self, HeaderName, HeaderValue};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::header::{self, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{HeaderMap, Method, Request, Response, StatusCode};
+use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
 use tokio::task::spawn_local;
 use tokio::time::{timeout, Instant};
 
-use crate::driver::{caught, Answer, Handle, Message};
+use crate::driver::{caught, Answer, Handle};
+use crate::request::{self, Ids, Sound};
 use crate::socket::{Socket, Unread};
 
-/// The largest body of a request or an answer.
-pub const MOST_BODY: usize = 64 << 10;
-/// How long the client waits, in milliseconds.
-pub const TIMEOUT: &str = "x-timeout-ms";
-
 /// Accepted for this long after the signal to end: the front takes a while to notice.
 const STILL_ACCEPTING: Duration = Duration::from_millis(500);
 /// The decisions get this much less than the client's time, for the answer's way back.
 const ANSWER_WAY: Duration = Duration::from_millis(20);
 /// What the decisions still hold open then, this much before the client's time, fails.
 const BACKSTOP: Duration = Duration::from_millis(8);
-/// The longest wait that makes sense, in milliseconds.
-const MOST_TIMEOUT: u64 = 24 * 3600 * 1000;
 /// A caller is expected to send its first request within this time.
 const NEW: Duration = Duration::from_millis(250);
+/// The head of a request has come whole within this time: from the start of the connection for its first
+/// request, from the head's first byte later on. Guards against callers that hold descriptors and say nothing.
+const HEAD: Duration = Duration::from_secs(2);
+/// How often that is looked at.
+const LOOK: Duration = Duration::from_millis(100);
 /// Pause before trying again to accept where that failed or there is no room: trying at once would spin.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -56,6 +55,7 @@
     pub handle: Handle,
     pub names: Names,
     pub settings: Settings,
+    pub ids: Ids,
     /// Says whether there is a list of backends.
     pub ready: Rc<Cell<bool>>,
 }
@@ -81,6 +81,8 @@
     /// Asks the connection to close once nothing is left to answer on it.
     close: Notify,
     closing: Cell<bool>,
+    /// Ends the connection as it is.
+    drop: Notify,
 }
 
 /// Serves callers until `stop`, and then until all that was taken has its answer.
@@ -94,6 +96,7 @@
     });
     let mut stop = pin!(stop);
     let mut accepted = 0;
+    let looking = spawn_local(look(Rc::clone(&callers)));
     tokio::select! {
         () = stop.as_mut() => {}
         () = accept(&callers, &listener, &mut accepted) => {}
@@ -116,6 +119,21 @@
     while !callers.all.borrow().is_empty() && (in_use() || told.elapsed() < LAST_WORDS) {
         let _ = timeout(LAST_WORDS / 10, callers.room.notified()).await;
     }
+    looking.abort();
+}
+
+/// Drops connections whose request does not come, for as long as it is polled. One that waits for its next
+/// request stays.
+async fn look(callers: Rc<Callers>) {
+    loop {
+        tokio::time::sleep(LOOK).await;
+        for caller in callers.all.borrow().values().filter(|c| !c.busy.get()) {
+            let since = if caller.asked.get() { caller.socket.since() } else { Some(caller.used.get()) };
+            if since.is_some_and(|since| since.elapsed() > HEAD) {
+                caller.drop.notify_one();
+            }
+        }
+    }
 }
 
 /// Accepts for as long as it is polled.
@@ -175,7 +193,7 @@
 
 fn serve(callers: &Rc<Callers>, stream: TcpStream, accepted: &mut u64) {
     *accepted += 1;
-    let socket = Socket::new(stream, None);
+    let socket = Socket::keeping(stream, MOST_BUFFER);
     let caller = Rc::new(Caller {
         socket: socket.clone(),
         busy: Cell::new(false),
@@ -183,6 +201,7 @@
         used: Cell::new(Instant::now()),
         close: Notify::new(),
         closing: Cell::new(false),
+        drop: Notify::new(),
     });
     callers.all.borrow_mut().insert(*accepted, Rc::clone(&caller));
     let registered = Registered(Rc::clone(callers), *accepted);
@@ -193,13 +212,18 @@
             async move {
                 caller.busy.set(true);
                 caller.asked.set(true);
-                let handled = caught(handle(callers, request)).await;
+                // What follows a chunked body is not kept, so its connection ends with it.
+                let chunked = request.headers().contains_key(header::TRANSFER_ENCODING);
+                let handled = caught(handle(callers, &caller.socket, request)).await;
                 let mut reply = handled.unwrap_or_else(|| reply(StatusCode::INTERNAL_SERVER_ERROR));
-                if callers.ending.get() || caller.closing.get() {
+                // After a malformed request nobody knows where the next one begins.
+                let malformed = reply.status().is_client_error();
+                if callers.ending.get() || caller.closing.get() || malformed || chunked {
                     reply.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
                 }
                 caller.used.set(Instant::now());
                 caller.busy.set(false);
+                caller.socket.next_message(MOST_BUFFER);
                 Ok::<_, Infallible>(reply)
             }
         });
@@ -210,27 +234,33 @@
         tokio::select! {
             biased;
             _ = connection.as_mut() => return,
+            () = caller.drop.notified() => return,
             () = caller.close.notified() => {}
         }
         // A request that has come in just now is answered first; its answer says that the connection ends.
         if caller.busy.get() || caller.socket.unread() != Unread::Data {
             connection.as_mut().graceful_shutdown();
         }
-        let _ = connection.await;
+        tokio::select! {
+            _ = connection => {}
+            () = caller.drop.notified() => {}
+        }
     });
 }
 
-async fn handle(callers: &Callers, request: Request<Incoming>) -> Reply {
+async fn handle(callers: &Callers, socket: &Socket, request: Request<Incoming>) -> Reply {
     if request.uri().path() == "/healthz" {
         let ready = !callers.ending.get() && callers.gate.ready.get();
         return reply(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE });
     }
     let gate = &callers.gate;
     let received = Instant::now();
-    let (new, message, patience) = match read(gate, request).await {
-        Ok(read) => read,
+    let sound = request::read(&gate.names, &gate.settings, &gate.ids, socket, request).await;
+    let Sound { mut new, message, patience, claim: _claim } = match sound {
+        Ok(sound) => sound,
         Err(status) => return reply(status),
     };
+    new.time_left = patience.saturating_sub(ANSWER_WAY.min(patience / 10)).as_micros() as Micros;
     let (id, answer) = gate.handle.request(new, message);
     let gone = Gone(&gate.handle, id);
     let backstop = received + patience.saturating_sub(BACKSTOP);
@@ -276,88 +306,6 @@
     reply
 }
 
-/// Reads a request whole, or says with which status to turn it away.
-async fn read(
-    gate: &Gate,
-    request: Request<Incoming>,
-) -> Result<(NewRequest, Message, Duration), StatusCode> {
-    let (mut head, body) = request.into_parts();
-    let text = |name: &str| head.headers.get(name).map(|v| v.to_str().map_err(|_| StatusCode::BAD_REQUEST));
-    let first = head.uri.path().trim_start_matches('/').split('/').next().unwrap_or_default();
-    let class = text("x-priority-class").transpose()?.unwrap_or(first);
-    let class = gate.names.class(class).ok_or(StatusCode::NOT_FOUND)?;
-    let of_class = &gate.settings.classes[class];
-    if text("x-request-id").transpose()?.is_none_or(str::is_empty) {
-        return Err(StatusCode::BAD_REQUEST);
-    }
-    let method = match of_class.semantics {
-        Semantics::Idempotent => Method::GET,
-        Semantics::Deduplicated { .. } | Semantics::AtMostOnce => Method::POST,
-    };
-    if head.method != method {
-        return Err(StatusCode::METHOD_NOT_ALLOWED);
-    }
-    let ms = match text(TIMEOUT).transpose()? {
-        Some(ms) => ms
-            .trim()
-            .parse()
-            .ok()
-            .filter(|ms| (1..=MOST_TIMEOUT).contains(ms))
-            .ok_or(StatusCode::BAD_REQUEST)?,
-        None => (of_class.deadline / 1000).clamp(1, MOST_TIMEOUT as i64) as u64,
-    };
-    let patience = Duration::from_millis(ms);
-    let work = text("x-cost").transpose()?.and_then(|us| us.trim().parse::<Micros>().ok());
-    let new = NewRequest {
-        id: RequestId(0),
-        class,
-        tenant: text("x-tenant-id").transpose()?.and_then(|t| gate.names.tenant(t)),
-        time_left: patience.saturating_sub(ANSWER_WAY.min(patience / 10)).as_micros() as Micros,
-        work: work.filter(|us| *us > 0),
-        is_retry: text("x-retried").transpose()? == Some("1"),
-    };
-    if body.size_hint().lower() > MOST_BODY as u64 {
-        return Err(StatusCode::PAYLOAD_TOO_LARGE);
-    }
-    // A body that never comes to its end must not hold its connection for good.
-    let body = timeout(patience, Limited::new(body, MOST_BODY).collect());
-    let body = body.await.map_err(|_| StatusCode::REQUEST_TIMEOUT)?.map_err(|e| {
-        if e.is::<LengthLimitError>() {
-            StatusCode::PAYLOAD_TOO_LARGE
-        } else {
-            StatusCode::BAD_REQUEST
-        }
-    })?;
-    remove_hop_by_hop(&mut head.headers);
-    head.extensions.clear();
-    Ok((new, Request::from_parts(head, Full::new(body.to_bytes())), patience))
-}
-
-/// Removes what speaks of one connection only, and what hyper writes anew.
-pub fn remove_hop_by_hop(headers: &mut HeaderMap) {
-    let named: Vec<HeaderName> = headers
-        .get_all(header::CONNECTION)
-        .iter()
-        .filter_map(|v| v.to_str().ok())
-        .flat_map(|v| v.split(',').filter_map(|name| name.trim().parse().ok()))
-        .collect();
-    let fixed = [
-        header::CONNECTION,
-        header::CONTENT_LENGTH,
-        header::EXPECT,
-        header::PROXY_AUTHENTICATE,
-        header::PROXY_AUTHORIZATION,
-        header::TE,
-        header::TRAILER,
-        header::TRANSFER_ENCODING,
-        header::UPGRADE,
-        HeaderName::from_static("keep-alive"),
-    ];
-    named.iter().chain(&fixed).for_each(|name| {
-        headers.remove(name);
-    });
-}
-
 #[cfg(test)]
 mod tests {
     use std::io::{BufRead, BufReader, Write};
@@ -385,6 +333,7 @@
                 handle: driver.handle(),
                 names: site.names,
                 settings: site.settings,
+                ids: Ids::default(),
                 ready: Rc::default(),
             };
             let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
--- a/src/bin/amberlever/socket.rs
+++ b/src/bin/amberlever/socket.rs
@@ -1,6 +1,6 @@
 //! A TCP socket that can be looked at while hyper owns it.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::io;
 use std::mem::MaybeUninit;
 use std::pin::Pin;
@@ -10,6 +10,7 @@
 use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
+use tokio::time::Instant;
 
 /// One owner reads and writes; any copy may ask what lies unread and what was written.
 #[derive(Clone)]
@@ -18,10 +19,22 @@
 struct Shared {
     stream: TcpStream,
     written: Cell<u64>,
+    /// What has come of the message that is being read; only where it is kept.
+    incoming: Option<RefCell<Incoming>>,
     /// Held for as long as the descriptor is.
     _slot: Option<Slot>,
 }
 
+/// A message as it came. hyper shows a request only as it understood it, and hides what would tell of a second
+/// one in it.
+#[derive(Default)]
+struct Incoming {
+    head: Vec<u8>,
+    most: usize,
+    bytes: u64,
+    since: Option<Instant>,
+}
+
 /// Counts a descriptor for as long as it is open.
 pub struct Slot(Rc<Cell<usize>>);
 
@@ -51,7 +64,40 @@
     pub fn new(stream: TcpStream, slot: Option<Slot>) -> Socket {
         // A message is one write, and none should wait for the acknowledgement of the one before.
         let _ = stream.set_nodelay(true);
-        Socket(Rc::new(Shared { stream, written: Cell::new(0), _slot: slot }))
+        Socket(Rc::new(Shared { stream, written: Cell::new(0), incoming: None, _slot: slot }))
+    }
+
+    /// One that keeps the first bytes of each message that comes, up to so many.
+    pub fn keeping(stream: TcpStream, most: usize) -> Socket {
+        let _ = stream.set_nodelay(true);
+        let incoming = Some(RefCell::new(Incoming { most, ..Incoming::default() }));
+        Socket(Rc::new(Shared { stream, written: Cell::new(0), incoming, _slot: None }))
+    }
+
+    /// What came first of this message; it is kept no longer.
+    pub fn take_head(&self) -> Vec<u8> {
+        self.0.incoming.as_ref().map_or_else(Vec::new, |incoming| {
+            let mut incoming = incoming.borrow_mut();
+            incoming.most = 0;
+            std::mem::take(&mut incoming.head)
+        })
+    }
+
+    /// Bytes read of this message, and of what follows it.
+    pub fn bytes_in(&self) -> u64 {
+        self.0.incoming.as_ref().map_or(0, |incoming| incoming.borrow().bytes)
+    }
+
+    /// When the first byte of this message came, if any has.
+    pub fn since(&self) -> Option<Instant> {
+        self.0.incoming.as_ref().and_then(|incoming| incoming.borrow().since)
+    }
+
+    /// What comes from now on is the next message.
+    pub fn next_message(&self, most: usize) {
+        if let Some(incoming) = &self.0.incoming {
+            *incoming.borrow_mut() = Incoming { most, ..Incoming::default() };
+        }
     }
 
     /// Bytes that the kernel has taken for sending up to now.
@@ -70,12 +116,26 @@
     }
 }
 
+impl Incoming {
+    fn take(&mut self, bytes: &[u8]) {
+        if !bytes.is_empty() {
+            self.since.get_or_insert_with(Instant::now);
+        }
+        self.bytes += bytes.len() as u64;
+        let room = self.most.saturating_sub(self.head.len()).min(bytes.len());
+        self.head.extend_from_slice(&bytes[..room]);
+    }
+}
+
 impl AsyncRead for Socket {
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
         loop {
             ready!(self.0.stream.poll_read_ready(cx))?;
             match self.0.stream.try_read(buf.initialize_unfilled()) {
                 Ok(n) => {
+                    if let Some(incoming) = &self.0.incoming {
+                        incoming.borrow_mut().take(&buf.initialize_unfilled()[..n]);
+                    }
                     buf.advance(n);
                     return Poll::Ready(Ok(()));
                 }
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -48,7 +48,20 @@
         (good.replace("Ms: 9000", "Ms: 0"), 400),
         (good.replace("Ms: 9000", "Ms: -5"), 400),
         (good.replace("Ms: 9000", "Ms: 99999999999999999999999"), 400),
+        (good.replace("Ms: 9000", "Ms: +9000"), 400),
+        (good.replace("Ms: 9000", "Ms: 9000\r\nX-Timeout-Ms: 9000"), 400),
         (good.replace("X-Request-ID: id-1\r\n", ""), 400),
+        (good.replace("id-1", "id-1\r\nX-Request-ID: id-2"), 400),
+        (good.replace("id-1", "id 1"), 400),
+        (good.replace("id-1", &long[..200]), 400),
+        (good.replace("/read/", "/write/"), 400),
+        (good.replace("\r\n\r\n", "\r\nContent-Length: 3\r\n\r\nabc"), 400),
+        (write("id-3", 9000, "x").replace("Length: 1", "Length: -1"), 400),
+        (write("id-3", 9000, "x").replace("Length: 1", "Length: 60000000"), 413),
+        // One byte more than was said.
+        (write("id-3", 9000, "x") + "y", 400),
+        (put("id-3", "key", 9000, "x").replace("Idempotency-Key: key\r\n", ""), 400),
+        (put("id-3", "", 9000, "x"), 400),
         (good.replace("GET", "POST"), 405),
         (good.replace("GET", "G@T\0"), 400),
         ("HELLO\r\n\r\n".to_owned(), 400),
@@ -65,6 +78,66 @@
     assert_eq!(backend.requests().len(), 1, "nothing bad went on");
 }
 
+/// hyper reads such a body by its chunks, and another reader by its length would find a request in it.
+#[test]
+fn a_body_with_two_lengths_is_turned_away_with_all_that_follows() {
+    let backend = Backend::new([ok("done")]);
+    let proxy = Setup::of(&[&backend]).start();
+    let hidden = format!("0\r\n\r\n{}", read("id-2", 9000));
+    let plain = write("id-1", 9000, &hidden);
+    for lengths in
+        ["Transfer-Encoding: chunked\r\nContent-", "Content-Length: 0\r\nTransfer-Encoding: chunked\r\nX-"]
+    {
+        let mut caller = proxy.caller();
+        let answer = caller.ask(&plain.replace("Content-", lengths));
+        assert_eq!((answer.status(), answer.header("Connection")), (400, Some("close")));
+        assert!(caller.is_closed());
+    }
+    assert!(backend.requests().is_empty());
+    // Chunks alone are good, and nothing is read behind them either.
+    let mut caller = proxy.caller();
+    let chunked = plain.replace(&format!("Content-Length: {}", hidden.len()), "Transfer-Encoding: chunked");
+    let (chunked, _) = chunked.split_once("\r\n\r\n").expect("a head");
+    let answer = caller.ask(&format!("{chunked}\r\n\r\n3\r\nabc\r\n0\r\n\r\n"));
+    assert_eq!((answer.status(), answer.header("Connection")), (200, Some("close")));
+    assert_eq!(backend.request().1.body, b"abc");
+}
+
+#[test]
+fn the_id_of_an_open_request_is_not_taken_twice() {
+    let backend = Backend::new([Deed::Silence, ok("done")]);
+    let proxy = Setup::of(&[&backend]).start();
+    let mut first = proxy.caller();
+    first.send(&write("id-1", 9000, "x"));
+    backend.request();
+    assert_eq!(proxy.ask(&write("id-1", 9000, "x")).status(), 409);
+    assert_eq!(proxy.ask(&write("id-2", 9000, "x")).status(), 200);
+    assert_eq!(backend.request().1.header("X-Request-ID"), Some("id-2"));
+    // The first goes on until its caller leaves, and then the id is free.
+    drop(first);
+    backend.over();
+    assert_eq!(proxy.ask(&write("id-1", 9000, "x")).status(), 200);
+}
+
+#[test]
+fn callers_whose_request_does_not_come_are_dropped_and_idle_ones_are_not() {
+    let backend = Backend::new([ok("done")]);
+    let proxy = Setup::of(&[&backend]).start();
+    let mut idle = proxy.caller();
+    assert_eq!(idle.ask(&read("id-1", 9000)).status(), 200);
+    let since = Instant::now();
+    let (mut silent, mut half, mut trickle) = (proxy.caller(), proxy.caller(), proxy.caller());
+    half.send("GET /read/1 HTTP/1.1\r\nHost:");
+    let whole = write("id-2", 60_000, "what to do");
+    trickle.send(&whole[..whole.len() - 1]);
+    assert!(silent.is_closed() && half.is_closed());
+    assert_eq!(trickle.hear().status(), 408);
+    assert!(since.elapsed() < PATIENCE / 2, "{:?}", since.elapsed());
+    assert_eq!(idle.ask(&read("id-3", 9000)).status(), 200);
+    idle.send("GET /read/1 HTTP/1.1\r\nHost:");
+    assert!(idle.is_closed());
+}
+
 #[test]
 fn a_caller_without_a_timeout_or_class_header_is_served() {
     let backend = Backend::new([ok("done")]);
