Forget backends and host names that have gone

A backend that is gone is now forgotten once its drain grace is over (by then nothing may be written to it, and a connection that comes back is dropped), its name after 60 s, so that an id is not given away while a request is open that went there. Tests: the forgetting, and an address taken over under a new id, which gets connections of its own (it did before, too).

--- a/src/bin/amberlever/backend.rs
+++ b/src/bin/amberlever/backend.rs
@@ -98,16 +98,25 @@
         }
     }
 
+    fn drain_grace(&self) -> Duration {
+        Duration::from_micros(self.transport.drain_grace as u64)
+    }
+
     fn kept_idle(&self) -> Duration {
         Duration::from_micros((self.transport.keepalive as f64 * KEPT_IDLE) as u64)
     }
 
-    /// Closes idle connections when their time is up, for as long as it is polled.
+    /// Closes idle connections when their time is up, and forgets backends that have gone and may get nothing
+    /// any more, for as long as it is polled.
     pub async fn sweep(&self) {
         let kept = self.kept_idle();
         let pause = (kept / 10).clamp(Duration::from_millis(10), Duration::from_secs(1));
         loop {
             tokio::time::sleep(pause).await;
+            // Guards against growth: backends that are replaced come under ever new ids.
+            self.all.borrow_mut().retain(|_, b| {
+                b.entry.stage != Stage::Gone || b.left.is_none_or(|at| at.elapsed() < self.drain_grace())
+            });
             for backend in self.all.borrow_mut().values_mut() {
                 backend.idle.retain(|i| i.since.elapsed() < kept && i.link.sender.is_ready());
             }
@@ -208,7 +217,7 @@
 
     /// May something still be sent there?
     fn may_write(&self, id: BackendId) -> bool {
-        let grace = Duration::from_micros(self.transport.drain_grace as u64);
+        let grace = self.drain_grace();
         let left = self.all.borrow().get(&id).map(|b| b.left);
         left.is_some_and(|left| left.is_none_or(|at| at.elapsed() + DRAIN_MARGIN < grace))
     }
@@ -350,3 +359,40 @@
         timeout_at(limit, exchange).await.unwrap_or_else(|_| Outcome::Timeout.into())
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use tokio::task::LocalSet;
+    use tokio::time::timeout;
+
+    use super::*;
+
+    #[test]
+    fn a_backend_that_has_gone_is_forgotten_once_its_grace_is_over() {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+        LocalSet::new().block_on(&runtime, async {
+            let transport = Transport { keepalive: 100_000, connect_timeout: 0, drain_grace: 50_000 };
+            let backends = Backends::new(transport, 9);
+            let address = "127.0.0.1:9".parse().expect("an address");
+            let entry = |id, stage| BackendEntry { id: BackendId(id), stage, ..BackendEntry::default() };
+            for id in 0..300 {
+                backends.update(&entry(id, Stage::Ready), address);
+                backends.update(&entry(id, Stage::Gone), address);
+            }
+            backends.update(&entry(300, Stage::Draining), address);
+            backends.update(&entry(301, Stage::Ready), address);
+            assert_eq!(backends.all.borrow().len(), 302, "none before its time");
+            let few = async {
+                while backends.all.borrow().len() > 2 {
+                    tokio::time::sleep(Duration::from_millis(5)).await;
+                }
+            };
+            tokio::select! {
+                done = timeout(Duration::from_secs(30), few) => assert!(done.is_ok()),
+                () = backends.sweep() => unreachable!("it goes on"),
+            }
+            let left: Vec<u32> = backends.all.borrow().keys().map(|id| id.0).collect();
+            assert_eq!(left, [300, 301]);
+        });
+    }
+}
--- a/src/bin/amberlever/discovery.rs
+++ b/src/bin/amberlever/discovery.rs
@@ -1,7 +1,7 @@
 //! Discovery: the list of backends as known at the start, and the watch that keeps it up to date.
 
 use std::cell::Cell;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -34,6 +34,9 @@
 const SHORTEST_WATCH: Duration = Duration::from_millis(100);
 /// Pause before asking again where lists are pushed and the decisions do not ask.
 const PUSHED_PAUSE: Duration = Duration::from_millis(250);
+/// The name of a host that has gone is kept for this long: by then nothing is open that went there, so that
+/// whoever gets its id is not taken for it.
+const NAME_KEPT: Duration = Duration::from_secs(60);
 /// The largest list that is read, in bytes.
 const MOST_LIST: usize = 8 << 20;
 
@@ -67,6 +70,13 @@
     Deleted,
 }
 
+/// What a host is called here.
+pub struct Named {
+    id: BackendId,
+    /// When it was said to be gone, or left out of a whole list.
+    gone: Option<Instant>,
+}
+
 fn one() -> f64 {
     1.0
 }
@@ -84,7 +94,7 @@
     /// Set once there is a list.
     pub ready: Rc<Cell<bool>>,
     pub seq: Option<u64>,
-    pub ids: BTreeMap<String, BackendId>,
+    pub ids: BTreeMap<String, Named>,
     pub complained: bool,
 }
 
@@ -147,15 +157,21 @@
             entries.push(entry);
         }
         if scope != ListScope::Delta {
-            self.backends.retain(|id| entries.iter().any(|e| e.id == id));
+            let listed: BTreeSet<BackendId> = entries.iter().map(|e| e.id).collect();
+            self.backends.retain(|id| listed.contains(&id));
+            for named in self.ids.values_mut().filter(|n| !listed.contains(&n.id)) {
+                named.gone.get_or_insert_with(Instant::now);
+            }
         }
+        // Guards against growth: hosts that are replaced come under ever new names.
+        self.ids.retain(|_, named| named.gone.is_none_or(|at| at.elapsed() < NAME_KEPT));
         self.handle.backends(scope, entries);
         self.ready.set(true);
     }
 
     fn entry(&mut self, host: Host) -> BackendEntry {
         BackendEntry {
-            id: self.id(host.host),
+            id: self.id(host.host, host.health),
             stage: match host.health {
                 Health::Serving => Stage::Ready,
                 Health::Draining => Stage::Draining,
@@ -170,17 +186,20 @@
     }
 
     /// A host's id: the same at every proxy, because all of them cut their parts out of one order of ids.
-    fn id(&mut self, host: String) -> BackendId {
-        if let Some(&id) = self.ids.get(&host) {
-            return id;
+    fn id(&mut self, host: String, health: Health) -> BackendId {
+        let gone = matches!(health, Health::Deleted).then(Instant::now);
+        if let Some(named) = self.ids.get_mut(&host) {
+            named.gone = gone.map(|now| named.gone.unwrap_or(now));
+            return named.id;
         }
         // FNV-1a; a hash that is taken moves on to the next.
         let mut id = host.bytes().fold(0x811c_9dc5_u32, |h, b| (h ^ u32::from(b)).wrapping_mul(0x0100_0193));
-        while self.ids.values().any(|taken| taken.0 == id) {
+        while self.ids.values().any(|taken| taken.id.0 == id) {
             id = id.wrapping_add(1);
         }
-        self.ids.insert(host, BackendId(id));
-        BackendId(id)
+        let id = BackendId(id);
+        self.ids.insert(host, Named { id, gone });
+        id
     }
 
     /// Watches until something fails.
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -327,6 +327,22 @@
     assert_eq!(proxy.ask(&write("id-7", 9000, "x")).status(), 503);
 }
 
+/// The process behind an address is told by its id: a connection to the old one says nothing of the new.
+#[test]
+fn an_address_that_is_taken_over_gets_new_connections() {
+    let backend = Backend::new([ok("done")]);
+    let proxy = Setup::of(&[&backend]).start();
+    proxy.discovery.call(0);
+    assert_eq!(proxy.ask(&read("id-1", 9000)).status(), 200);
+    assert_eq!(backend.request().0, 0);
+    let hosts = [host("s-0", backend.address, "DELETED"), host("s-1", backend.address, "SERVING")];
+    proxy.discovery.tell(News::List(list(2, false, &hosts)));
+    proxy.discovery.call(1);
+    assert_eq!(backend.over(), 0);
+    assert_eq!(proxy.ask(&read("id-2", 9000)).status(), 200);
+    assert_eq!(backend.request().0, 1);
+}
+
 #[test]
 fn a_discovery_that_does_not_wait_is_not_asked_in_a_spin() {
     let backend = Backend::new([ok("done")]);
