Pass over absurd load reports, and read the sound one of several

By reading: any number was taken, and {"depth":1e300} ranks a sound backend last for as long as it counts as fresh. Now the first report that can be read counts, and a figure under 0 or over a million makes it unreadable.

--- a/src/bin/amberlever/backend.rs
+++ b/src/bin/amberlever/backend.rs
@@ -33,6 +33,9 @@
 /// How long a probe may take once it is connected.
 const PROBE_TIME: Duration = Duration::from_secs(1);
 
+/// The largest figure in a load report that can be meant.
+const MOST_FIGURE: f64 = 1e6;
+
 pub const LOAD_HEADER: &str = "x-server-load";
 const NOT_PROCESSED: &str = "x-not-processed";
 
@@ -286,7 +289,7 @@
 
     async fn read(&self, response: Response<Incoming>, link: Link) -> (Ended, Option<Link>) {
         let (head, body) = response.into_parts();
-        let report = head.headers.get(LOAD_HEADER).and_then(|v| self.report(v.as_bytes()));
+        let report = head.headers.get_all(LOAD_HEADER).iter().find_map(|v| self.report(v.as_bytes()));
         let turned_away = head.headers.get(NOT_PROCESSED).is_some_and(|v| v == "1");
         let body = Limited::new(body, MOST_BODY).collect().await;
         let outcome = match head.status {
@@ -310,9 +313,12 @@
         }
     }
 
-    /// A load report: an object of numbers. A malformed one is passed over.
+    /// A load report: an object of numbers. A malformed one is passed over, and so is one with an absurd figure,
+    /// which would keep requests from a sound backend.
     fn report(&self, json: &[u8]) -> Option<Report> {
-        let Ok(values) = serde_json::from_slice::<BTreeMap<String, f64>>(json) else {
+        let read = serde_json::from_slice::<BTreeMap<String, f64>>(json).ok();
+        let Some(values) = read.filter(|values| values.values().all(|v| (0.0..=MOST_FIGURE).contains(v)))
+        else {
             if !self.complained_of_reports.replace(true) {
                 say(format_args!(
                     "passing over a malformed load report: {:?}",
@@ -367,6 +373,16 @@
 
     use super::*;
 
+    #[test]
+    fn absurd_load_reports_are_passed_over() {
+        let transport = Transport { keepalive: 0, connect_timeout: 0, drain_grace: 0 };
+        let backends = Backends::new(transport, 9);
+        for bad in ["{\"depth\":1e300}", "{\"depth\":-1}", "{\"depth\":1e999}", "=,=", "[1]", ""] {
+            assert!(backends.report(bad.as_bytes()).is_none(), "{bad}");
+        }
+        assert_eq!(backends.report(b"{\"depth\":3}").and_then(|r| r.queue), Some(3.0));
+    }
+
     #[test]
     fn a_backend_that_has_gone_is_forgotten_once_its_grace_is_over() {
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
