Serve connected callers on after SIGTERM, until shortly before a kill can come

A probe that logged each answer, each period and the stop shows who gave those failures: nobody did. n1 has SIGTERM at 13.4 s, n0 at 16.4 s, and each closed all its connections 0.5 s later, answered its last request within a second, and is back only 4.4 s after its signal: from 16.9 to 17.8 s there is no proxy at all, and before and after that one proxy has all the load. The proxies themselves gave 502/504 for 1 to 4 requests a second, so driver, dispatch and backends are ruled out for this phase; and so is a list that is out of date (Cached list at the restart had ready servers).

To blame: server::run, which asked every caller to close at STILL_ACCEPTING and said Connection: close from the signal on. PROTOCOL: clients go on using the connections that they have, and no kill comes sooner than the longest deadline (3 s at most) and 0.7 s more. Now connected callers are served on until 1.2 s before that; what is taken after the signal has its answer 0.2 s before it, whatever its own patience. The longest wait is the longest that a caller has asked for, so a proxy that has served nobody ends as soon as before.

--- a/src/bin/amberlever/server.rs
+++ b/src/bin/amberlever/server.rs
@@ -29,6 +29,13 @@
 
 /// Accepted for this long after the signal to end: the front takes a while to notice.
 const STILL_ACCEPTING: Duration = Duration::from_millis(500);
+/// No kill follows the signal sooner than this and the longest time that a client waits, of which so much counts.
+const KILL: Duration = Duration::from_millis(700);
+const MOST_OF_WAIT: Duration = Duration::from_secs(3);
+/// Callers that are connected are served on until this much before that: most answers take less.
+const LAST_ANSWERS: Duration = Duration::from_millis(1200);
+/// What is taken after the signal has its answer this much before that.
+const KILL_MARGIN: Duration = Duration::from_millis(200);
 /// The decisions get this much less than the client's time, for the answer's way back.
 const ANSWER_WAY: Duration = Duration::from_millis(20);
 /// What the decisions still hold open then, this much before the client's time, fails.
@@ -68,6 +75,12 @@
     /// Told when a connection has ended.
     room: Notify,
     ending: Cell<bool>,
+    /// Told to end, and done with waiting for further requests.
+    leaving: Cell<bool>,
+    /// The longest time that a client has waited for, up to what counts.
+    wait: Cell<Duration>,
+    /// Once the proxy has been told to end: when it may be killed.
+    kill: Cell<Option<Instant>>,
 }
 
 struct Caller {
@@ -93,6 +106,9 @@
         all: RefCell::default(),
         room: Notify::new(),
         ending: Cell::new(false),
+        leaving: Cell::new(false),
+        wait: Cell::default(),
+        kill: Cell::default(),
     });
     let mut stop = pin!(stop);
     let mut accepted = 0;
@@ -102,6 +118,9 @@
         () = accept(&callers, &listener, &mut accepted) => {}
     }
     callers.ending.set(true);
+    let told = Instant::now();
+    let kill = told + callers.wait.get() + KILL;
+    callers.kill.set(Some(kill));
     let _ = timeout(STILL_ACCEPTING, accept(&callers, &listener, &mut accepted)).await;
     // What the kernel has accepted by now is taken, too.
     if let Ok(listener) = listener.into_std() {
@@ -111,6 +130,14 @@
             }
         }
     }
+    // Guards against a time with no proxy at all: while others of the tier restart too, or die, callers can
+    // often go nowhere else, and they go on using the connections that they have. Does harm where the kill comes
+    // sooner than promised: what it finds open is lost.
+    let until = kill.checked_sub(LAST_ANSWERS).unwrap_or(told);
+    while Instant::now() < until && !callers.all.borrow().is_empty() {
+        let _ = timeout(until - Instant::now(), callers.room.notified()).await;
+    }
+    callers.leaving.set(true);
     let open: Vec<_> = callers.all.borrow().values().cloned().collect();
     open.iter().for_each(|caller| caller.ask_to_close());
     // What has been asked is answered, by the backstop at the latest; half a request is not waited for.
@@ -218,7 +245,7 @@
                 let mut reply = handled.unwrap_or_else(|| reply(StatusCode::INTERNAL_SERVER_ERROR));
                 // After a malformed request nobody knows where the next one begins.
                 let malformed = reply.status().is_client_error();
-                if callers.ending.get() || caller.closing.get() || malformed || chunked {
+                if callers.leaving.get() || caller.closing.get() || malformed || chunked {
                     reply.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
                 }
                 caller.used.set(Instant::now());
@@ -260,6 +287,10 @@
         Ok(sound) => sound,
         Err(status) => return reply(status),
     };
+    callers.wait.set(callers.wait.get().max(patience.min(MOST_OF_WAIT)));
+    // What would still be open when the kill comes gets its answer before that.
+    let left = callers.kill.get().map(|at| at.saturating_duration_since(received + KILL_MARGIN));
+    let patience = left.map_or(patience, |left| patience.min(left));
     new.time_left = patience.saturating_sub(ANSWER_WAY.min(patience / 10)).as_micros() as Micros;
     let (id, answer) = gate.handle.request(new, message);
     let gone = Gone(&gate.handle, id);
