T1 follows the number of ready servers, and a drained pool steps the cursor left

As servers drain at 8.6 and 11 s, T1 stays at 27 with two left, one of them slow: 15 to 19 calls of each of two proxies crowd one server of two cores, it slows down, 14 calls time out together, and only then does the cursor step right. It goes on to slot 8 on two to four late answers a period, while 4 or 5 calls are in flight and new, idle servers are in the list: 64 of 66 calls a period refused (10 to 15 s: 82 %, 0.58 attempts each). After its restart n1 starts from a list that has two of four servers ready, so with T1 10, and with 500 tries a second before its door it holds 8 to 10 calls on four servers.

To blame: on_backends, which left T1 and the rate behind it as they were learned on another pool, and on_period, which steps right on figures of a crowd long gone. Now both scale with the number of ready servers, and below a quarter of T1 in flight the cursor steps left (not in groups that talk).

Two loopback tests fail without it.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -35,6 +35,8 @@
 const TARGET_LATENCY: [f64; 2] = [0.4, 0.6];
 /// Periods without figures for which the cursor holds before it steps left.
 const HOLD_PERIODS: u32 = 4;
+/// With less than this part of T1 in flight the cursor steps left, whatever the figures say.
+const DRAINED: f64 = 0.25;
 /// Further attempts per request: more saves answers, and feeds an overload.
 const RETRY_SHARE: f64 = 0.15;
 /// A call with less than this part of what its class takes left is refused at once: guards against work that
@@ -323,6 +325,7 @@
             }
             known.entry = entry;
         }
+        let before = self.ready.len();
         let is_ready = |b: &usize| self.backends[*b].entry.stage == Stage::Ready;
         self.ready = self.index.values().copied().filter(is_ready).collect();
         let at_home = |b: &usize| self.backends[*b].entry.zone == self.s.zone;
@@ -353,6 +356,12 @@
         if self.t1.is_infinite() && !self.ready.is_empty() {
             // Guards against a start at full load: with no threshold its backlog outlives it by far.
             self.t1 = T1_START * self.ready.len() as f64 / f64::from(self.s.balancers);
+        } else if before > 0 && !self.ready.is_empty() {
+            // Guards against a threshold learned on another pool: too high, it crowds the servers left until
+            // they fail as well; too low, as after a start from an old list, it leaves new ones idle. Does harm
+            // where the list flaps and servers differ much.
+            let part = self.ready.len() as f64 / before as f64;
+            (self.t1, self.served.sum) = (self.t1 * part, self.served.sum * part);
         }
     }
 
@@ -424,23 +433,18 @@
             self.t1 = (at_aim * T1_OF_AIM).max(held);
         }
         let before = self.cursor;
-        match self.load(now) {
-            Some(load) => {
-                self.silent_periods = 0;
-                if load > 1.0 {
-                    self.cursor = (self.cursor + 1).min(self.table[0].len() - 1);
-                } else {
-                    self.cursor = self.cursor.saturating_sub(1);
-                }
-            }
+        let load = self.load(now);
+        self.silent_periods = if load.is_some() { 0 } else { self.silent_periods + 1 };
+        // Guards against answers that come late from a crowd long gone, or from one odd server, and turn away
+        // all that the others could serve. Does harm where a few calls alone are more than a pool can do.
+        // A group that talks hears figures of more than its own calls.
+        let drained = self.peers.is_empty() && f64::from(self.inflight) < DRAINED * self.t1;
+        self.cursor = match load {
+            Some(load) if load > 1.0 && !drained => (before + 1).min(self.table[0].len() - 1),
             // Late figures: hold. Missing ones: step left, or a cursor that refuses all would stay for good.
-            None => {
-                self.silent_periods += 1;
-                if self.silent_periods > HOLD_PERIODS || self.inflight == 0 {
-                    self.cursor = self.cursor.saturating_sub(1);
-                }
-            }
-        }
+            None if self.silent_periods <= HOLD_PERIODS && self.inflight > 0 => before,
+            _ => before.saturating_sub(1),
+        };
         if (before < FIRST_SLOTS) != (self.cursor < FIRST_SLOTS) {
             let word = if self.cursor < FIRST_SLOTS { "ends" } else { "begins" };
             out.push(Action::Log(format!("shedding {word}: {} in flight, T1 {:.0}", self.inflight, self.t1)));
@@ -468,14 +472,8 @@
         let by_latency = median(&mut self.samples).map(|x| {
             let base = *self.baseline.get_or_insert(x);
             // Falls fast, rises slowly and only while nothing is shed: it must not learn the overload.
-            let pace = if x < base {
-                0.2
-            } else if self.cursor == 0 {
-                0.002
-            } else {
-                0.0
-            };
-            let base = base + pace * (x - base);
+            let rise = if self.cursor == 0 { 0.002 } else { 0.0 };
+            let base = base + if x < base { 0.2 } else { rise } * (x - base);
             self.baseline = Some(base);
             let base = base.min(0.6);
             let away = self.turned_away / self.answers.max(1.0);
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -558,6 +558,52 @@
     assert!(backend.requests().is_empty());
 }
 
+// ---- Thresholds ----
+
+#[test]
+fn the_threshold_follows_the_number_of_servers_in_the_list() {
+    let silent: Vec<Backend> = (0..3).map(|_| Backend::new([Deed::Silence])).collect();
+    let hosts = |health: [&str; 3]| -> Vec<String> {
+        let all = silent.iter().zip(health).enumerate();
+        all.map(|(i, (b, health))| host(&format!("s-{i}"), b.address, health)).collect()
+    };
+    // As after a restart, from a list in which two of three are missing.
+    let proxy = Setup::of(&[&silent[0]]).start();
+    proxy.discovery.tell(News::List(list(2, true, &hosts(["SERVING"; 3]))));
+    proxy.discovery.call(1);
+    let ask = |n: usize| {
+        let mut caller = proxy.caller();
+        caller.send(&read(&format!("id-{n}"), 19_000));
+        caller
+    };
+    let mut callers: Vec<Caller> = (0..25).map(ask).collect();
+    let (since, mut taken) = (Instant::now(), 0);
+    while taken < 25 {
+        assert!(since.elapsed() < PATIENCE / 3, "only {taken} of 25 were let in");
+        taken += silent.iter().map(|b| b.requests().len()).sum::<usize>();
+        thread::sleep(Duration::from_millis(5));
+    }
+    // With two of them draining, what is in flight is more than one should hold.
+    proxy.discovery.tell(News::List(list(3, false, &hosts(["SERVING", "DRAINING", "DRAINING"])[1..])));
+    proxy.discovery.call(2);
+    assert_eq!(proxy.ask(&read("late", 9000)).status(), 503);
+    callers.clear();
+}
+
+#[test]
+fn late_answers_with_next_to_nothing_in_flight_start_no_shedding() {
+    let silent = Backend::new([Deed::Silence]);
+    let mut setup = Setup::of(&[&silent]);
+    setup.aim_ms = 200;
+    let proxy = setup.start();
+    let mut caller = proxy.caller();
+    for n in 0..8 {
+        assert!(matches!(caller.ask(&read(&format!("id-{n}"), 9000)).status(), 503 | 504));
+    }
+    assert_eq!(silent.requests().len(), 8);
+    assert!(!proxy.log().contains("shedding begins"), "{}", proxy.log());
+}
+
 // ---- The end of a proxy ----
 
 #[test]
