--- a/src/choice.rs
+++ b/src/choice.rs
@@ -357,9 +357,9 @@
             // Guards against a start at full load: with no threshold its backlog outlives it by far.
             self.t1 = T1_START * self.ready.len() as f64 / f64::from(self.s.balancers);
         } else if before > 0 && !self.ready.is_empty() {
-            // Guards against a threshold learned on another pool: too high, it crowds the servers left until
-            // they fail as well; too low, as after a start from an old list, it leaves new ones idle. Does harm
-            // where the list flaps and servers differ much.
+            // Guards against a threshold learned on another pool: too high, it crowds the servers left
+            // till they fail; too low, as after a start from an old list, it leaves new ones idle. Does harm
+            // where servers that come and go differ much from the rest.
             let part = self.ready.len() as f64 / before as f64;
             (self.t1, self.served.sum) = (self.t1 * part, self.served.sum * part);
         }
