Give up a watch on discovery that stays silent after 6.5 s, not 22.5

A probe of each period and list shows that no proxy had any news from its start at 0.6 s until 23.2 s: each watch stayed open and silent, was given up after WAIT and LATE (20 s and 2.5 s), and the next call had all the news 0.6 s later. By then all of a release had gone by: three of the four servers in the list were gone or draining, turned all away as full, and time-outs on the last one moved the cursor to slot 11. The ranking, the threshold and the cursor followed from that and are ruled out as its cause.

To blame: WAIT in discovery.rs. Now 5 s, and 1.5 s for the answer after that: the new call has come before the news counts as told, 2 s after the wait.

A loopback test fails without it.

--- a/src/bin/amberlever/discovery.rs
+++ b/src/bin/amberlever/discovery.rs
@@ -25,10 +25,12 @@
 use crate::say;
 use crate::socket::Socket;
 
-/// How long a watch waits for news.
-const WAIT: Duration = Duration::from_secs(20);
+/// How long a watch waits for news. Guards against a discovery that says nothing, cut off or hung, behind an
+/// open connection: until the watch is given up, requests go to backends that have gone, and new ones stay idle.
+/// Shorter costs discovery a call each time and proxy, which does harm where it has many proxies and little room.
+const WAIT: Duration = Duration::from_secs(5);
 /// An answer that has not come by then, after the wait, will not come.
-const LATE: Duration = Duration::from_millis(2500);
+const LATE: Duration = Duration::from_millis(1500);
 /// One without news that ends sooner is not followed by the next at once: guards against a discovery that does
 /// not wait. Far under the 200 ms within which the next call goes on with the same watch.
 const SHORTEST_WATCH: Duration = Duration::from_millis(100);
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -309,11 +309,11 @@
     let proxy = Setup::of(&[&old]).start();
     assert_eq!(proxy.ask(&write("id-0", 9000, "x")).body, b"old");
     let discovery = &proxy.discovery;
-    assert_eq!(discovery.call(0).0, "/v1/servers?after=1&wait_ms=20000");
+    assert_eq!(discovery.call(0).0, "/v1/servers?after=1&wait_ms=5000");
     let hosts = [host("s-0", old.address, "DRAINING"), host("s-new", new.address, "SERVING")];
     discovery.tell(News::List(list(2, false, &hosts)));
     // The next call says that the list before has been taken in.
-    assert_eq!(discovery.call(1).0, "/v1/servers?after=2&wait_ms=20000");
+    assert_eq!(discovery.call(1).0, "/v1/servers?after=2&wait_ms=5000");
     for i in 1..6 {
         assert_eq!(proxy.ask(&write(&format!("id-{i}"), 9000, "x")).body, b"new");
     }
@@ -407,11 +407,28 @@
         discovery.tell(News::List(malformed.to_owned()));
     }
     // Each of them ended a watch, and the decisions asked anew from the list that they have.
-    assert_eq!(discovery.call(4).0, "/v1/servers?after=1&wait_ms=20000");
+    assert_eq!(discovery.call(4).0, "/v1/servers?after=1&wait_ms=5000");
     assert_eq!(proxy.ask(&write("id-1", 9000, "x")).status(), 200);
     assert_eq!(proxy.log().matches("malformed list").count(), 1);
 }
 
+#[test]
+fn a_silent_discovery_is_asked_again_within_seconds() {
+    let (old, new) = (Backend::new([ok("old")]), Backend::new([ok("new")]));
+    let proxy = Setup::of(&[&old]).start();
+    let discovery = &proxy.discovery;
+    // It never answers the first call, as if cut off. The next one comes over a new connection, and the news of
+    // the time in between with it.
+    let (silent, again) = (discovery.call(0).1, discovery.call(1).1);
+    assert!(again - silent < Duration::from_secs(15), "{:?}", again - silent);
+    let hosts = [host("s-0", old.address, "DELETED"), host("s-1", new.address, "SERVING")];
+    // One for the call that nobody listens to any more.
+    discovery.tell(News::List(list(2, false, &hosts)));
+    discovery.tell(News::List(list(2, false, &hosts)));
+    discovery.call(2);
+    assert_eq!(proxy.ask(&write("id-1", 9000, "x")).body, b"new");
+}
+
 #[test]
 fn a_new_configuration_moves_the_watch_and_keeps_all_else() {
     let (old, new) = (Backend::new([ok("old"), Deed::Silence]), Backend::new([ok("new")]));
@@ -440,12 +457,12 @@
         true,
         &[host("s-0", old.address, "DRAINING"), host("s-1", new.address, "SERVING")],
     )));
-    assert_eq!(moved.call(1).0, "/v1/servers?after=1&wait_ms=20000");
+    assert_eq!(moved.call(1).0, "/v1/servers?after=1&wait_ms=5000");
     assert_eq!(caller.ask(&read("id-3", 9000)).body, b"new");
     // The same address again is no reason to begin anew.
     proxy.reload(&second);
     moved.tell(News::List(list(2, false, &[])));
-    assert_eq!(moved.call(2).0, "/v1/servers?after=2&wait_ms=20000");
+    assert_eq!(moved.call(2).0, "/v1/servers?after=2&wait_ms=5000");
     assert!(old.requests().is_empty());
 }
 
