Attempts of a tenant's request count whoever hears of them, and over all its pools

A request whose caller left, or that its time ran out on, was paid for as if it had one attempt, and each pool that it fell back to began the count anew. The driver now counts attempts where the tenant's side can read them at any time, and a fallback past what the tenant can pay for is not made. A tenant with less than one retry a second also starts with the one that it may save up.

Three tests through sockets: retries_per_s as such, a caller that leaves after the second attempt, and a fallback.

--- a/crates/limit/src/limiter.rs
+++ b/crates/limit/src/limiter.rs
@@ -14,6 +14,15 @@
 /// Further attempts that a tenant may save up, in seconds of its rate.
 const RETRY_DEPTH: f64 = 1.0;
 
+/// What a tenant may save up of further attempts: one at least, unless it has none at all.
+fn retry_depth(rate: f64) -> f64 {
+    if rate > 0.0 {
+        (rate * RETRY_DEPTH).max(1.0)
+    } else {
+        0.0
+    }
+}
+
 /// What the whole program can bear.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Capacity {
@@ -202,7 +211,7 @@
         place.tenant = Some(Box::new(Tenant {
             limits,
             rate: Bucket::full(now, limits.burst),
-            retries: Bucket::full(now, limits.retries_per_s * RETRY_DEPTH),
+            retries: Bucket::full(now, retry_depth(limits.retries_per_s)),
             credit: Bucket::full(now, LEAST_CREDIT),
             share: 0.0,
             asked: 0,
@@ -231,7 +240,7 @@
             tenant.rate = Bucket::full(now, limits.burst);
         }
         if before.retries_per_s.is_infinite() {
-            tenant.retries = Bucket::full(now, limits.retries_per_s * RETRY_DEPTH);
+            tenant.retries = Bucket::full(now, retry_depth(limits.retries_per_s));
         }
         self.weights += f64::from(limits.weight.max(1)) - f64::from(before.weight.max(1));
         self.set_parts();
@@ -321,9 +330,8 @@
         in_flight.take(&mut tenant.in_flight, 1);
         bodies.take(&mut tenant.bodies, body);
         tenant.usage.admitted += 1;
-        let depth = limits.retries_per_s * RETRY_DEPTH;
-        let spare = limits.retries_per_s.is_infinite()
-            || tenant.retries.fill(now, limits.retries_per_s, depth.max(1.0)) >= 1.0;
+        let rate = limits.retries_per_s;
+        let spare = rate.is_infinite() || tenant.retries.fill(now, rate, retry_depth(rate)) >= 1.0;
         Ok(Admitted { tenant: id, body, attempts: if spare { usize::MAX } else { 1 } })
     }
 
@@ -339,7 +347,7 @@
             let further = attempts.saturating_sub(1);
             let rate = tenant.limits.retries_per_s;
             if further > 0 && rate.is_finite() {
-                tenant.retries.fill(now, rate, (rate * RETRY_DEPTH).max(1.0));
+                tenant.retries.fill(now, rate, retry_depth(rate));
                 tenant.retries.take(further as f64);
             }
             tenant.usage.retries += further as u64;
--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -1,6 +1,9 @@
 //! What passes between fronts and backends: a request, an attempt's end, a final answer. Neither side owns it,
 //! and nothing here reads a socket or decides.
 
+use std::cell::Cell;
+use std::rc::Rc;
+
 use bytes::Bytes;
 use decide::interface::*;
 use http_body_util::Full;
@@ -17,12 +20,19 @@
 /// A request as it goes to a backend.
 pub type Message = Request<Full<Bytes>>;
 
-/// The final answer to a caller, and what it took.
-#[derive(Debug)]
-pub struct Final {
-    pub answer: Answer,
-    /// Attempts that were begun.
-    pub attempts: usize,
+/// Counts the attempts that are begun for a request, in whichever pool. Known at any time, also where nobody is
+/// left to hear the answer.
+#[derive(Clone, Debug, Default)]
+pub struct Attempts(Rc<Cell<usize>>);
+
+impl Attempts {
+    pub fn begun(&self) -> usize {
+        self.0.get()
+    }
+
+    pub fn begin(&self) {
+        self.0.set(self.0.get() + 1);
+    }
 }
 
 /// The final answer to a caller.
--- a/crates/proxy/src/gate.rs
+++ b/crates/proxy/src/gate.rs
@@ -9,6 +9,7 @@
 use hyper::http::request::Parts;
 use hyper::{Method, StatusCode};
 
+use crate::exchange::Attempts;
 use crate::ids::Ids;
 use crate::inbox::Handle;
 
@@ -70,13 +71,15 @@
     /// The nodes that it may use, where not all.
     fn allowed(&self) -> Option<Arc<Allowed>>;
 
-    /// The attempts that it may have; 0 leaves that to the settings.
+    /// The attempts that it may have from here on; 0 leaves that to the settings.
     fn attempts(&self) -> usize {
         0
     }
 
-    /// So many attempts were begun.
-    fn attempted(&mut self, _attempts: usize) {}
+    /// Counts those that are begun.
+    fn begun(&self) -> Attempts {
+        Attempts::default()
+    }
 
     /// What a refusal there comes to; `never_ran` where no attempt can have run.
     fn refused(&mut self, never_ran: bool) -> Next;
--- a/crates/proxy/src/hosting.rs
+++ b/crates/proxy/src/hosting.rs
@@ -21,6 +21,7 @@
 use tokio::time::{sleep, Instant};
 
 use crate::clock::Clock;
+use crate::exchange::Attempts;
 use crate::gate::{one, Connection, Course, Next, Router, Turned, Way, TENANT};
 use crate::ids::Ids;
 use crate::inbox::Handle;
@@ -310,7 +311,7 @@
             limiter: Rc::clone(&house.limiter),
             clock: house.clock,
             admitted: Some(admitted),
-            attempts: 0,
+            begun: Attempts::default(),
         };
         let Known { class, semantics, deadline } = known;
         let ids = Some(resident.ids.clone());
@@ -350,17 +351,25 @@
     limiter: Rc<RefCell<Limiter>>,
     clock: Clock,
     admitted: Option<Admitted>,
-    attempts: usize,
+    begun: Attempts,
 }
 
 impl Drop for Limited {
     fn drop(&mut self) {
         if let Some(admitted) = self.admitted.take() {
-            self.limiter.borrow_mut().done(self.clock.now(), admitted, self.attempts);
+            self.limiter.borrow_mut().done(self.clock.now(), admitted, self.begun.begun());
         }
     }
 }
 
+impl Limited {
+    /// The attempts that its tenant can still pay for, where they are bounded.
+    fn left(&self) -> Option<usize> {
+        let most = self.admitted.as_ref().map(|a| a.attempts).filter(|most| *most < usize::MAX)?;
+        Some(most.saturating_sub(self.begun.begun()))
+    }
+}
+
 impl Course for Limited {
     fn handle(&self) -> &Handle {
         self.routed.handle()
@@ -371,14 +380,18 @@
     }
 
     fn attempts(&self) -> usize {
-        self.admitted.as_ref().map_or(0, |a| if a.attempts == usize::MAX { 0 } else { a.attempts })
+        self.left().unwrap_or(0)
     }
 
-    fn attempted(&mut self, attempts: usize) {
-        self.attempts += attempts;
+    fn begun(&self) -> Attempts {
+        self.begun.clone()
     }
 
     fn refused(&mut self, never_ran: bool) -> Next {
-        self.routed.refused(never_ran)
+        // A further attempt is one in whichever pool.
+        match self.routed.refused(never_ran) {
+            Next::Again if self.left() == Some(0) => Next::Answer,
+            next => next,
+        }
     }
 }
--- a/crates/proxy/src/inbox.rs
+++ b/crates/proxy/src/inbox.rs
@@ -6,12 +6,12 @@
 use decide::interface::*;
 use tokio::sync::{mpsc, oneshot};
 
-use crate::exchange::{Ended, Final, Message};
+use crate::exchange::{Answer, Attempts, Ended, Message};
 
 /// Something that happened, as it waits for its turn.
 pub enum Input {
     Backends(ListScope, Vec<BackendEntry>),
-    Request(NewRequest, Rc<Message>, oneshot::Sender<Final>),
+    Request(NewRequest, Rc<Message>, Attempts, oneshot::Sender<Answer>),
     Ended(RequestId, usize, Ended),
     /// An attempt of a request that is over was called off: where to, and when it was sent.
     Dropped(RequestId, usize, BackendId, Micros),
@@ -45,11 +45,12 @@
         &self,
         mut new: NewRequest,
         message: Rc<Message>,
-    ) -> (RequestId, oneshot::Receiver<Final>) {
+        attempts: Attempts,
+    ) -> (RequestId, oneshot::Receiver<Answer>) {
         new.id = RequestId(self.last_id.get() + 1);
         self.last_id.set(new.id.0);
         let (id, (sender, receiver)) = (new.id, oneshot::channel());
-        self.tell(Input::Request(new, message, sender));
+        self.tell(Input::Request(new, message, attempts, sender));
         (id, receiver)
     }
 
--- a/crates/proxy/src/server.rs
+++ b/crates/proxy/src/server.rs
@@ -22,7 +22,7 @@
 use tokio::task::spawn_local;
 use tokio::time::{timeout, Instant};
 
-use crate::exchange::{Answer, Final, MOST_BUFFER};
+use crate::exchange::{Answer, MOST_BUFFER};
 use crate::gate::{Connection, Next, Router, Turned};
 use crate::guard::caught;
 use crate::ids::Ids;
@@ -302,13 +302,10 @@
     let answer = loop {
         new.time_left = decided.saturating_sub(spent).as_micros() as Micros;
         let handle = course.handle().clone();
-        let (id, answer) = handle.request(new.clone(), Rc::clone(&message));
+        let (id, answer) = handle.request(new.clone(), Rc::clone(&message), course.begun());
         let gone = Gone(&handle, id);
         let answer = match tokio::time::timeout_at(backstop, answer).await {
-            Ok(Ok(Final { answer, attempts })) => {
-                course.attempted(attempts);
-                answer
-            }
+            Ok(Ok(answer)) => answer,
             Ok(Err(_)) => Answer::Failed,
             Err(_) => Answer::TimedOut,
         };
@@ -320,6 +317,7 @@
             Next::Fail => break Answer::Failed,
             Next::Again => {
                 new.allowed = course.allowed();
+                new.attempts = course.attempts();
                 spent = received.elapsed();
             }
         }
--- a/tests/hosted.rs
+++ b/tests/hosted.rs
@@ -180,6 +180,97 @@
     assert_eq!(service.get("/v1/tenants/good/status").body["refused"]["in-flight"], 0);
 }
 
+/// Each further attempt is paid for by the tenant, also of a request whose caller has left.
+#[test]
+fn a_tenant_without_retries_left_has_one_attempt_for_each_request() {
+    let breaks: Vec<Backend> = (0..3).map(|_| Backend::new([Deed::Break])).collect();
+    let nodes: Vec<_> = breaks.iter().map(|b| b.address).collect();
+    let asked = || breaks.iter().map(|b| b.requests().len()).sum::<usize>();
+    let service = host_service(&hosted_file("", ""));
+    let status = || service.get("/v1/tenants/club/status").body;
+    service.put("/v1/tenants/club", &tenant("club.example", &nodes, json!({})));
+    // All that is tried fails or is refused; which of them, the decisions say.
+    let ask = || assert!(matches!(service.ask("club.example", "/x").status(), 502 | 503));
+    ask();
+    let free = asked();
+    assert!(free > 1, "nodes that break are tried again where nothing bounds that: {free}");
+    assert_eq!(status()["retries"], free - 1);
+    assert_eq!(service.put("/v1/tenants/club/limits", &json!({ "retries_per_s": 0.001 })).status, 200);
+    // One is left of the start; whoever takes it may go into debt.
+    ask();
+    let paid = asked();
+    (0..5).for_each(|_| ask());
+    assert!(asked() <= 5, "one attempt each");
+    assert_eq!(status()["retries"], free - 1 + paid.saturating_sub(1));
+}
+
+#[test]
+fn attempts_of_a_caller_that_left_are_paid_for() {
+    // Whichever node is asked second says nothing.
+    let first = Arc::new(AtomicUsize::new(0));
+    let listen = |first: Arc<AtomicUsize>| {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+        let address = listener.local_addr().expect("bound");
+        thread::spawn(move || {
+            let mut kept = Vec::new();
+            for stream in listener.incoming() {
+                let stream = stream.expect("accepts");
+                let mut reader = std::io::BufReader::new(stream.try_clone().expect("a copy"));
+                if hear(&mut reader).is_some() && first.fetch_add(1, Ordering::SeqCst) > 0 {
+                    kept.push(stream);
+                }
+            }
+        });
+        address
+    };
+    let nodes: Vec<_> = (0..3).map(|_| listen(Arc::clone(&first))).collect();
+    let service = host_service(&hosted_file("", ""));
+    let limits = json!({ "retries_per_s": 0.001 });
+    assert_eq!(service.put("/v1/tenants/club", &tenant("club.example", &nodes, limits)).status, 200);
+    let status = || service.get("/v1/tenants/club/status").body;
+    let mut caller = service.process.caller();
+    caller.send("GET /x HTTP/1.1\r\nHost: club.example\r\n\r\n");
+    let since = Instant::now();
+    while first.load(Ordering::SeqCst) < 2 {
+        assert!(since.elapsed() < PATIENCE, "no second attempt");
+        thread::sleep(Duration::from_millis(2));
+    }
+    drop(caller);
+    while status()["in_flight"] != 0 {
+        assert!(since.elapsed() < PATIENCE, "the request goes on without its caller");
+        thread::sleep(Duration::from_millis(2));
+    }
+    assert_eq!(status()["retries"], 1);
+    // It has spent what it had: the next has one attempt at most, and that one says nothing.
+    let ask = "GET /x HTTP/1.1\r\nHost: club.example\r\nX-Timeout-Ms: 300\r\n\r\n";
+    assert!(matches!(service.process.ask(ask).status(), 503 | 504));
+    assert!(first.load(Ordering::SeqCst) <= 3);
+    assert_eq!(status()["retries"], 1);
+}
+
+/// A fallback to another pool is a further attempt like any other, where the first pool made one.
+#[test]
+fn a_tenant_without_retries_left_does_not_fall_back_for_a_second_attempt() {
+    let (busy, spare) = (Backend::new([full()]), Backend::new([ok("spare")]));
+    let service = host_service(&hosted_file("", ""));
+    let mut club = tenant("club.example", &[busy.address], json!({}));
+    let pool = |name: &str, node: &Backend| json!({ "name": name, "nodes": [{ "name": name, "address": node.address.to_string() }] });
+    club["config"]["pool"] = json!([pool("p", &busy), pool("q", &spare)]);
+    club["config"]["route"][0]["fallback"] = json!([{ "pool": "q", "when": ["refused"] }]);
+    assert_eq!(service.put("/v1/tenants/club", &club).status, 200);
+    assert_eq!(service.ask("club.example", "/x").status(), 200, "the spare pool serves");
+    let before = (busy.requests().len(), spare.requests().len());
+    assert_eq!(before.1, 1);
+    assert_eq!(service.put("/v1/tenants/club/limits", &json!({ "retries_per_s": 0.001 })).status, 200);
+    // The one that is left is spent on a fallback, and then there are none.
+    let answers: Vec<u16> = (0..4).map(|_| service.ask("club.example", "/x").status()).collect();
+    assert_eq!(answers[0], 200);
+    let (asked, fell_back) = (busy.requests().len(), spare.requests().len());
+    // Where the first pool does not even try, the first attempt may be the other pool's.
+    let tried_both = asked + fell_back;
+    assert!(tried_both <= 4 + 2, "one attempt each and what was left: {answers:?}, {asked} and {fell_back}");
+}
+
 /// Latencies of a quiet tenant's requests over some time, in microseconds and in order.
 fn latencies(service: &Hosted, host: &str, time: Duration) -> Vec<u64> {
     let mut caller = service.process.caller();
