--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -5,6 +5,7 @@
 use std::path::PathBuf;
 
 use decide::interface::{self, Group, Micros, Semantics};
+use jsonrpc::Framing;
 use route::{Condition, HostPattern, Key, Match, PathPattern, PoolId, Route, Split, Table, Within};
 use toml::Spanned;
 
@@ -12,12 +13,16 @@
 use crate::file::{self, File, Word};
 use crate::fleet::{Node, NodeState};
 use crate::hosted::{Role, Setup, Shared, Token};
+use crate::method::{host_of, Member, Members, Method, Methods, Protocol, Template, Verb};
 use crate::model::{sockets_suffice, Class, Config, Limits, Listener, Pool, Source};
 
 /// The longest time that makes sense anywhere, in milliseconds: a day.
 const MOST_MS: u64 = 24 * 3600 * 1000;
 /// Sockets to be of any use, and the most that a process is trusted with.
 const SOCKETS: std::ops::RangeInclusive<usize> = 48..=1_000_000;
+/// Calls that a JSON-RPC connection may have open: as usual, and at most.
+const CALLS: usize = 32;
+const MOST_CALLS: usize = 1024;
 /// Attempts of a request.
 const ATTEMPTS: std::ops::RangeInclusive<usize> = 1..=10;
 
@@ -72,6 +77,8 @@
     for route in &file.routes {
         routes.push(check.route(route, &class_names, &pool_names, &tenants, open));
     }
+    let methods = check.methods(&file.methods, &file.members, &classes, &class_names);
+    let keys = check.keys(&server.keys);
     let name = check.faults.name(text).to_owned();
     let origins: Vec<_> =
         file.routes.iter().map(|r| (name.clone(), check.faults.line(text, r.name.span().start))).collect();
@@ -84,6 +91,8 @@
         sockets,
         proxies,
         limits,
+        keys,
+        methods,
         tenants,
         classes,
         pools,
@@ -107,10 +116,12 @@
     intern(&mut check.zones, &server.zone);
     let listeners = check.listeners(&server.listen, &server.zone);
     let (sockets, proxies) = check.machine(&server);
+    let keys = check.keys(&server.keys);
     let own = [
         ("class", file.classes.first().map(|c| c.name.span())),
         ("pool", file.pools.first().map(|p| p.name.span())),
         ("route", file.routes.first().map(|r| r.name.span())),
+        ("method", file.methods.first().map(|m| m.name.span())),
     ];
     for (sort, span) in own {
         if let Some(span) = span {
@@ -135,7 +146,7 @@
     let zones = check.zones;
     (faults.all().len() == before).then(|| Setup {
         listeners,
-        shared: Shared { zone: server.zone, proxies, sockets, capacity, zones },
+        shared: Shared { zone: server.zone, proxies, sockets, capacity, keys, zones },
         admin: listen,
         state: beside(admin.state.get_ref()),
         tokens,
@@ -271,11 +282,146 @@
             intern(&mut self.zones, &zone);
             let zone_header = entry.zone_header.as_ref().map(|word| self.header("zone_header", word));
             let tenant = entry.tenant.as_ref().map(|t| t.get_ref().clone());
-            listeners.push(Listener { address, zone, zone_header, tenant });
+            let protocol = self.protocol(&entry.protocol, &entry.framing, &entry.calls);
+            let host = self.host(entry, protocol, address);
+            listeners.push(Listener { address, zone, zone_header, tenant, protocol, host });
         }
         listeners
     }
 
+    /// What is spoken on a listener's or a pool's connections.
+    fn protocol(
+        &mut self,
+        protocol: &Option<Word>,
+        framing: &Option<Word>,
+        calls: &Option<Spanned<usize>>,
+    ) -> Protocol {
+        let named = protocol.as_ref().map_or("http", |word| word.get_ref());
+        if let ("http", Some(span)) =
+            (named, framing.as_ref().map(Word::span).or(calls.as_ref().map(Spanned::span)))
+        {
+            let help = "leave it out, or write protocol = \"json-rpc\"".to_owned();
+            self.fault(span, "`framing` and `calls` are of JSON-RPC", Some(help));
+        }
+        if named == "http" {
+            return Protocol::Http;
+        }
+        if let Some(word) = protocol.as_ref().filter(|_| named != "json-rpc") {
+            let help = one_of(named, &["http", "json-rpc"]);
+            self.fault(word.span(), format!("`protocol`: {named:?} is none"), Some(help));
+        }
+        let framing = match framing.as_ref().map(|word| (word, word.get_ref().as_str())) {
+            None | Some((_, "line")) => Framing::Line,
+            Some((_, "content-length")) => Framing::Length,
+            Some((word, other)) => {
+                let help = one_of(other, &["line", "content-length"]);
+                self.fault(word.span(), format!("`framing`: {other:?} is none"), Some(help));
+                Framing::Line
+            }
+        };
+        let most = calls.as_ref().map_or(CALLS, |c| *c.get_ref());
+        if let Some(given) = calls.as_ref().filter(|_| !(1..=MOST_CALLS).contains(&most)) {
+            self.fault(given.span(), format!("`calls`: {most} is not from 1 to {MOST_CALLS}"), None);
+        }
+        Protocol::JsonRpc { framing, calls: most }
+    }
+
+    /// The host of calls that come in at a listener.
+    fn host(&mut self, entry: &file::Listen, protocol: Protocol, address: SocketAddr) -> String {
+        let Some(word) = &entry.host else { return host_of(address) };
+        if protocol == Protocol::Http {
+            let help = "leave it out, or write protocol = \"json-rpc\"".to_owned();
+            self.fault(word.span(), "`host`: HTTP callers name one themselves", Some(help));
+        }
+        if let Err(why) = HostPattern::parse(word.get_ref()) {
+            self.fault(word.span(), format!("`host`: {why}"), None);
+        }
+        word.get_ref().clone()
+    }
+
+    /// The bounds of the table of keys.
+    fn keys(&mut self, written: &file::Keys) -> keys::Bounds {
+        let usual = keys::Bounds::default();
+        let mut within = |key: &str, given: &Option<Spanned<usize>>, usual: usize, most: usize| match given {
+            Some(x) if !(1..=most).contains(x.get_ref()) => {
+                self.fault(x.span(), format!("`{key}`: {} is not from 1 to {most}", x.get_ref()), None);
+                usual
+            }
+            given => given.as_ref().map_or(usual, |x| *x.get_ref()),
+        };
+        keys::Bounds {
+            entries: within("entries", &written.entries, usual.entries, 100_000_000),
+            bytes: within("bytes", &written.bytes, usual.bytes, 1 << 40),
+        }
+    }
+
+    /// The methods: those that are written, and each class that none is written for by its name.
+    fn methods(
+        &mut self,
+        written: &[file::Method],
+        members: &file::Members,
+        classes: &[Class],
+        names: &Names,
+    ) -> Methods {
+        let usual = Members::default();
+        let mut member = |key: &str, given: &Option<Word>, usual: Member| {
+            given.as_ref().map_or(usual.clone(), |word| {
+                Member::parse(word.get_ref()).unwrap_or_else(|| {
+                    let help = "write \"name\" or \"object.name\"".to_owned();
+                    self.fault(
+                        word.span(),
+                        format!("`{key}`: {:?} is no member", word.get_ref()),
+                        Some(help),
+                    );
+                    usual
+                })
+            })
+        };
+        let members = Members {
+            key: member("key", &members.key, usual.key),
+            timeout_ms: member("timeout_ms", &members.timeout_ms, usual.timeout_ms),
+            tenant: member("tenant", &members.tenant, usual.tenant),
+            class: member("class", &members.class, usual.class),
+            id: member("id", &members.id, usual.id),
+        };
+        self.names("method", written.iter().map(|m| &m.name));
+        let verb_of = |class: usize| match classes[class].figures.semantics {
+            Semantics::Idempotent => Verb::Get,
+            Semantics::Deduplicated { .. } | Semantics::AtMostOnce => Verb::Post,
+        };
+        let mut all: Vec<Method> = Vec::new();
+        for method in written {
+            let name = method.name.get_ref().clone();
+            let Some(class) = self.refer("class", &method.class, names) else { continue };
+            let verb = match method.verb.as_ref().map(|word| (word, word.get_ref().as_str())) {
+                None => verb_of(class),
+                Some((_, "GET")) => Verb::Get,
+                Some((_, "POST")) => Verb::Post,
+                Some((word, other)) => {
+                    let help = one_of(other, &["GET", "POST"]);
+                    self.fault(word.span(), format!("`verb`: {other:?} is none of them"), Some(help));
+                    Verb::Post
+                }
+            };
+            let path = match &method.path {
+                None => Template::of_method(&name, &members.key),
+                Some(word) => Template::parse(word.get_ref()).unwrap_or_else(|| {
+                    let help = "write one such as \"/report-result/{table}\"".to_owned();
+                    self.fault(word.span(), format!("`path`: {:?} is no path", word.get_ref()), Some(help));
+                    Template::of_method(&name, &members.key)
+                }),
+            };
+            all.push(Method { name: name.into(), class, verb, path });
+        }
+        for (class, Class { name, .. }) in classes.iter().enumerate() {
+            if !all.iter().any(|m| m.class == class || *m.name == **name) {
+                let path = Template::of_method(name, &members.key);
+                all.push(Method { name: name.as_str().into(), class, verb: verb_of(class), path });
+            }
+        }
+        Methods { all, members }
+    }
+
     /// The sockets of the process, and its place among the proxies that share the nodes.
     fn machine(&mut self, server: &file::Server) -> (usize, (u32, u32)) {
         let sockets = *server.sockets.get_ref();
@@ -380,7 +526,15 @@
         if let Some(given) = pool.share.as_ref().filter(|_| !(1..=10_000).contains(&share)) {
             self.fault(given.span(), format!("`share`: {share} is not from 1 to 10000"), None);
         }
-        Pool { name, share, source }
+        let protocol = self.protocol(&pool.protocol, &pool.framing, &pool.calls);
+        let cancel = pool.cancel.as_ref().map(|word| {
+            if protocol == Protocol::Http {
+                let help = "leave it out, or write protocol = \"json-rpc\"".to_owned();
+                self.fault(word.span(), "`cancel`: only JSON-RPC has such notifications", Some(help));
+            }
+            word.get_ref().clone()
+        });
+        Pool { name, share, source, protocol, cancel }
     }
 
     fn nodes(&mut self, nodes: &[file::Node], home: &str) -> Vec<Node> {
--- a/crates/config/src/file.rs
+++ b/crates/config/src/file.rs
@@ -21,6 +21,10 @@
     pub pools: Vec<Pool>,
     #[serde(default, rename = "route")]
     pub routes: Vec<Route>,
+    #[serde(default, rename = "method")]
+    pub methods: Vec<Method>,
+    #[serde(default)]
+    pub members: Members,
     /// With it the file is that of a hosted service.
     pub admin: Option<Admin>,
     #[serde(default, rename = "tenant")]
@@ -81,6 +85,9 @@
     /// Only for a hosted service: what the whole program can bear.
     #[serde(default)]
     pub capacity: Capacity,
+    /// Keys of requests that are open or were answered.
+    #[serde(default)]
+    pub keys: Keys,
 }
 
 fn local() -> String {
@@ -98,6 +105,37 @@
     pub zone: Option<String>,
     pub zone_header: Option<Word>,
     pub tenant: Option<Word>,
+    pub protocol: Option<Word>,
+    pub framing: Option<Word>,
+    pub calls: Option<Spanned<usize>>,
+    /// With JSON-RPC: the host that stands in for the one that HTTP callers name.
+    pub host: Option<Word>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct Method {
+    pub name: Word,
+    pub class: Word,
+    pub verb: Option<Word>,
+    pub path: Option<Word>,
+}
+
+#[derive(Default, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub(crate) struct Members {
+    pub key: Option<Word>,
+    pub timeout_ms: Option<Word>,
+    pub tenant: Option<Word>,
+    pub class: Option<Word>,
+    pub id: Option<Word>,
+}
+
+#[derive(Default, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub(crate) struct Keys {
+    pub entries: Option<Spanned<usize>>,
+    pub bytes: Option<Spanned<usize>>,
 }
 
 #[derive(Deserialize)]
@@ -190,6 +228,11 @@
     pub nodes: Option<Vec<Node>>,
     pub file: Option<Word>,
     pub discovery: Option<Word>,
+    pub protocol: Option<Word>,
+    pub framing: Option<Word>,
+    pub calls: Option<Spanned<usize>>,
+    /// With JSON-RPC: the notification that calls a request off, if its nodes know one.
+    pub cancel: Option<Word>,
 }
 
 #[derive(Deserialize)]
--- a/crates/config/src/hosted.rs
+++ b/crates/config/src/hosted.rs
@@ -82,6 +82,8 @@
     pub sockets: usize,
     /// What the whole program can bear.
     pub capacity: Capacity,
+    /// Keys that are known at once, and bytes of their answers, of all tenants together.
+    pub keys: keys::Bounds,
     /// Zones of callers, as listeners name them.
     pub zones: Vec<String>,
 }
@@ -300,6 +302,14 @@
         (nodes as u64 * u64::from(tenant.doc.limits.weight()) / self.weights()) as usize
     }
 
+    /// A tenant's part of the table of keys, by weight.
+    #[must_use]
+    pub fn keys(&self, shared: &Shared, tenant: &Tenant) -> keys::Bounds {
+        let (weight, all) = (u64::from(tenant.doc.limits.weight()), self.weights());
+        let part = |whole: usize| (whole as u64 / all).saturating_mul(weight).max(1) as usize;
+        keys::Bounds { entries: part(shared.keys.entries), bytes: part(shared.keys.bytes) }
+    }
+
     /// A tenant's limits.
     #[must_use]
     pub fn limits(&self, shared: &Shared, tenant: &Tenant) -> Limits {
--- a/crates/config/src/model.rs
+++ b/crates/config/src/model.rs
@@ -7,6 +7,7 @@
 use route::Table;
 
 use crate::fleet::Node;
+use crate::method::{Methods, Protocol};
 
 /// All that a process is told.
 #[derive(Clone, Debug)]
@@ -21,6 +22,10 @@
     pub proxies: (u32, u32),
     /// Times and bounds for all pools.
     pub limits: Limits,
+    /// Keys that are known at once, and bytes of their answers.
+    pub keys: keys::Bounds,
+    /// JSON-RPC's methods.
+    pub methods: Methods,
     /// The tenants.
     pub tenants: Vec<String>,
     /// The classes, by index.
@@ -48,6 +53,10 @@
     pub zone_header: Option<String>,
     /// The tenant whose it is, where it is one's alone.
     pub tenant: Option<String>,
+    /// What is spoken there.
+    pub protocol: Protocol,
+    /// The host of calls, which do not name one.
+    pub host: String,
 }
 
 /// Times in microseconds, and bounds.
@@ -99,6 +108,10 @@
     pub share: u32,
     /// Where its nodes are told.
     pub source: Source,
+    /// What its nodes speak.
+    pub protocol: Protocol,
+    /// The notification that calls a request off there.
+    pub cancel: Option<String>,
 }
 
 /// Where a pool's nodes are told.
@@ -154,6 +167,12 @@
         sockets_cut(self.sockets).unwrap_or((LEAST_SOCKETS, LEAST_SOCKETS))
     }
 
+    /// Does any pool's nodes speak JSON-RPC?
+    #[must_use]
+    pub fn speaks_json_rpc(&self) -> bool {
+        self.pools.iter().any(|p| p.protocol != Protocol::Http)
+    }
+
     /// So many sockets, cut up by the pools' shares.
     #[must_use]
     pub fn pool_parts(&self, sockets: usize) -> Vec<usize> {
@@ -197,7 +216,10 @@
             Source::List(_) => None,
             other => Some(other.clone()),
         };
-        let same = before.pools.iter().any(|p| p.name == pool.name && source(p) == source(pool));
+        let same = before.pools.iter().any(|p| {
+            let speaks = (p.protocol, &p.cancel) == (pool.protocol, &pool.cancel);
+            p.name == pool.name && source(p) == source(pool) && speaks
+        });
         same && self.zone == before.zone
             && self.proxies == before.proxies
             && self.limits == before.limits
--- a/crates/config/tests/faults.rs
+++ b/crates/config/tests/faults.rs
@@ -72,7 +72,7 @@
         // The form.
         ("sockets = 1024", "sockets = ", "etc/lb.toml:4:11: `sockets`: string values must be quoted, expected literal string"),
         ("sockets = 1024", "sockets = \"many\"", "etc/lb.toml:4:11: `sockets`: invalid type: string \"many\", expected usize"),
-        ("sockets = 1024", "socket = 1024", "etc/lb.toml:4:1: unknown field `socket`, expected one of `listen`, `zone`, `sockets`, `proxies`, `tenants`, `expectations`, `capacity` (did you mean `sockets`?)"),
+        ("sockets = 1024", "socket = 1024", "etc/lb.toml:4:1: unknown field `socket`, expected one of `listen`, `zone`, `sockets`, `proxies`, `tenants`, `expectations`, `capacity`, `keys` (did you mean `sockets`?)"),
         ("semantics = \"idempotent\"", "semantics = \"idempotant\"", "etc/lb.toml:15:13: `semantics`: unknown variant `idempotant`, expected one of `idempotent`, `deduplicated`, `at-most-once` (did you mean `idempotent`?)"),
         ("aim_ms = 800\n", "", "etc/lb.toml:11:1: missing field `aim_ms`"),
         ("[server]", "[server", "etc/lb.toml:1:8: unclosed table, expected `]`"),
--- a/crates/jsonrpc/src/lib.rs
+++ b/crates/jsonrpc/src/lib.rs
@@ -10,7 +10,7 @@
 mod write;
 
 pub use framing::{frame, Framer, Framing, Unframed};
-pub use message::{parse, Body, Call, Entry, Invalid, Parsed, Response};
+pub use message::{members, parse, Body, Call, Entry, Invalid, Parsed, Response};
 pub use write::{batch, error, request, response};
 
 /// Bounds of what is read from a peer.
--- a/crates/jsonrpc/src/message.rs
+++ b/crates/jsonrpc/src/message.rs
@@ -203,6 +203,40 @@
     }
 }
 
+/// The members of an object in their order, each as it was written. None where it is no object, or a member is there
+/// twice: nobody can tell which of them is meant.
+#[must_use]
+pub fn members(object: &str) -> Option<Vec<(Cow<'_, str>, &RawValue)>> {
+    struct All<'a>(Vec<(Cow<'a, str>, &'a RawValue)>);
+
+    impl<'de: 'a, 'a> Deserialize<'de> for All<'a> {
+        fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+            struct Object;
+            impl<'de> Visitor<'de> for Object {
+                type Value = All<'de>;
+
+                fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                    f.write_str("an object")
+                }
+
+                fn visit_map<A: MapAccess<'de>>(self, mut map: A) -> Result<All<'de>, A::Error> {
+                    let mut all = Vec::new();
+                    while let Some((CowStr(name), value)) = map.next_entry::<CowStr<'de>, &'de RawValue>()? {
+                        all.push((name, value));
+                    }
+                    Ok(All(all))
+                }
+            }
+            deserializer.deserialize_map(Object)
+        }
+    }
+
+    let All(all) = serde_json::from_str(object).ok()?;
+    let mut names: Vec<&str> = all.iter().map(|(name, _)| &**name).collect();
+    names.sort_unstable();
+    names.windows(2).all(|pair| pair[0] != pair[1]).then_some(all)
+}
+
 /// The members of a message. A derived reader could not tell `"id": null` from no id.
 #[derive(Default)]
 struct Members<'a> {
--- /dev/null
+++ b/crates/proxy/src/backend/link.rs
@@ -0,0 +1,330 @@
+//! A connection to a node that speaks JSON-RPC: many calls on it at once, each with an outcome of its own.
+
+use std::cell::{Cell, RefCell};
+use std::collections::hash_map::RandomState;
+use std::collections::{HashMap, VecDeque};
+use std::future::poll_fn;
+use std::hash::BuildHasher;
+use std::io;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{ready, Context, Poll};
+use std::time::Duration;
+
+use bytes::Bytes;
+use jsonrpc::{code, Body, Bounds, Framer, Framing, Parsed, Response};
+use serde_json::value::RawValue;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::sync::{oneshot, Notify};
+use tokio::task::{spawn_local, AbortHandle};
+use tokio::time::Instant;
+
+use crate::exchange::MOST_BODY;
+use crate::socket::Socket;
+
+/// Read at a time; held only while it is read.
+const READ: usize = 16 << 10;
+/// A node that has said nothing at all for so long, while a call waited that was then given up, gets its next calls on
+/// another connection.
+const QUIET: Duration = Duration::from_secs(1);
+/// A frame round the largest answer.
+const MOST_FRAME: usize = MOST_BODY + (4 << 10);
+
+/// How a pool's nodes speak.
+#[derive(Clone, Debug)]
+pub struct Speech {
+    pub framing: Framing,
+    /// Calls that a connection may have open.
+    pub calls: usize,
+    /// The notification that calls one off.
+    pub cancel: Option<String>,
+}
+
+/// How a call ended.
+#[derive(Debug)]
+pub enum End {
+    Result(Box<RawValue>),
+    /// An error object with this code.
+    Error(i64),
+    /// The connection ended before the call was written whole: it never ran.
+    Never,
+    /// The connection ended after that, or what came for it cannot be read: it may have run.
+    Broken,
+}
+
+/// The connection. Dropping it closes it; calls on it hold it.
+pub struct RpcLink {
+    shared: Rc<Shared>,
+    task: AbortHandle,
+}
+
+struct Shared {
+    speech: Speech,
+    pending: RefCell<HashMap<String, Pending>>,
+    queue: RefCell<VecDeque<Order>>,
+    /// There is more to write.
+    more: Notify,
+    /// It takes no more calls.
+    over: Cell<bool>,
+    heard: Cell<Instant>,
+    used: Cell<Instant>,
+    /// Makes ids that nobody can guess.
+    ids: (RandomState, Cell<u64>),
+}
+
+struct Pending {
+    end: oneshot::Sender<End>,
+    progress: Rc<Cell<usize>>,
+    whole: usize,
+}
+
+/// A message that is to be written.
+struct Order {
+    id: Option<String>,
+    frame: Bytes,
+    progress: Rc<Cell<usize>>,
+}
+
+impl RpcLink {
+    /// Speaks on a socket from now on.
+    pub fn new(socket: Socket, speech: Speech) -> RpcLink {
+        let shared = Rc::new(Shared {
+            speech,
+            pending: RefCell::default(),
+            queue: RefCell::default(),
+            more: Notify::new(),
+            over: Cell::new(false),
+            heard: Cell::new(Instant::now()),
+            used: Cell::new(Instant::now()),
+            ids: (RandomState::new(), Cell::new(0)),
+        });
+        let task = spawn_local(converse(Rc::clone(&shared), socket)).abort_handle();
+        RpcLink { shared, task }
+    }
+
+    /// May another call go on it?
+    pub fn has_room(&self) -> bool {
+        let Speech { calls, .. } = self.shared.speech;
+        self.is_usable()
+            && self.shared.pending.borrow().len() < calls
+            && self.shared.queue.borrow().len() < 2 * calls
+    }
+
+    pub fn is_usable(&self) -> bool {
+        !self.shared.over.get()
+    }
+
+    /// Since when nothing is open on it.
+    pub fn idle_since(&self) -> Option<Instant> {
+        self.shared.pending.borrow().is_empty().then(|| self.shared.used.get())
+    }
+
+    /// Puts a call up for writing; `progress` counts its bytes that the kernel has taken. `message` makes it from its
+    /// id in JSON.
+    pub fn send(self: &Rc<Self>, progress: Rc<Cell<usize>>, message: impl FnOnce(&str) -> Vec<u8>) -> Sent {
+        let shared = &self.shared;
+        let id = shared.new_id();
+        let message = message(&format!("\"{id}\""));
+        let frame: Bytes = jsonrpc::frame(shared.speech.framing, &message).into();
+        // A line without its end is a whole message to a lenient reader.
+        let whole = frame.len() - usize::from(shared.speech.framing == Framing::Line);
+        let (end, ended) = oneshot::channel();
+        progress.set(0);
+        let order = Order { id: Some(id.clone()), frame, progress: Rc::clone(&progress) };
+        shared
+            .pending
+            .borrow_mut()
+            .insert(id.clone(), Pending { end, progress: Rc::clone(&progress), whole });
+        shared.queue.borrow_mut().push_back(order);
+        shared.more.notify_one();
+        shared.used.set(Instant::now());
+        if shared.over.get() {
+            // It ended in this very moment, and its task will not come round to this one.
+            shared.end_all();
+        }
+        Sent { link: Rc::clone(self), id, progress, ended, at: Instant::now() }
+    }
+}
+
+impl Drop for RpcLink {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+/// A call on its way. Dropping it gives the call up.
+pub struct Sent {
+    link: Rc<RpcLink>,
+    id: String,
+    progress: Rc<Cell<usize>>,
+    ended: oneshot::Receiver<End>,
+    at: Instant,
+}
+
+impl Sent {
+    pub async fn end(mut self) -> End {
+        (&mut self.ended).await.unwrap_or(End::Broken)
+    }
+}
+
+impl Drop for Sent {
+    fn drop(&mut self) {
+        let shared = &self.link.shared;
+        shared.used.set(Instant::now());
+        // Its answer will be nobody's.
+        if shared.pending.borrow_mut().remove(&self.id).is_none() {
+            return;
+        }
+        let mut queue = shared.queue.borrow_mut();
+        if self.progress.get() == 0 {
+            // Not a byte of it has gone, and none will.
+            queue.retain(|order| order.id.as_deref() != Some(&self.id));
+            return;
+        }
+        if shared.heard.get() < self.at && self.at.elapsed() > QUIET {
+            // Nothing at all has come for it: nobody may be there any more.
+            shared.over.set(true);
+        }
+        let speech = &shared.speech;
+        if let Some(cancel) = speech.cancel.as_ref().filter(|_| queue.len() < 2 * speech.calls) {
+            let params = RawValue::from_string(format!("{{\"id\":\"{}\"}}", self.id)).ok();
+            let message = jsonrpc::request(None, cancel, params.as_deref());
+            let frame = jsonrpc::frame(speech.framing, &message).into();
+            queue.push_back(Order { id: None, frame, progress: Rc::default() });
+            shared.more.notify_one();
+        }
+    }
+}
+
+impl Shared {
+    fn new_id(&self) -> String {
+        let (random, count) = &self.ids;
+        loop {
+            count.set(count.get() + 1);
+            let id = format!("{:016x}", random.hash_one(count.get()));
+            if !self.pending.borrow().contains_key(&id) {
+                return id;
+            }
+        }
+    }
+
+    fn end_all(&self) {
+        self.over.set(true);
+        for (_, pending) in self.pending.borrow_mut().drain() {
+            let whole = pending.progress.get() >= pending.whole;
+            let _ = pending.end.send(if whole { End::Broken } else { End::Never });
+        }
+        self.queue.borrow_mut().clear();
+    }
+
+    /// Writes what stands first. It looks at the queue only while it writes, so what is given up before is not begun.
+    fn poll_write(&self, socket: &mut Socket, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let mut queue = self.queue.borrow_mut();
+        let Some(first) = queue.front() else { return Poll::Pending };
+        let at = first.progress.get();
+        let n = ready!(Pin::new(socket).poll_write(cx, &first.frame[at..]))?;
+        first.progress.set(at + n);
+        if at + n == first.frame.len() {
+            queue.pop_front();
+        }
+        Poll::Ready(Ok(()))
+    }
+
+    /// Takes in a message from the node; false where nothing more of it can be believed.
+    fn hear(&self, frame: &[u8]) -> bool {
+        self.heard.set(Instant::now());
+        let bounds = Bounds { bytes: MOST_FRAME, ..Bounds::default() };
+        let entries = match jsonrpc::parse(frame, &bounds) {
+            Ok(Parsed::One(entry)) => vec![entry],
+            Ok(Parsed::Batch(entries)) => entries,
+            Err(_) => return false,
+        };
+        entries.into_iter().all(|entry| match entry {
+            Ok(Body::Response(response)) => self.answered(&response),
+            // Nodes ask nothing; what they tell is nobody's.
+            Ok(Body::Call(_)) => true,
+            Err(invalid) => {
+                let pending = invalid.id.and_then(|id| self.take_pending(id));
+                if let Some(pending) = pending {
+                    let _ = pending.end.send(End::Broken);
+                }
+                true
+            }
+        })
+    }
+
+    fn take_pending(&self, id: &RawValue) -> Option<Pending> {
+        let id: String = serde_json::from_str(id.get()).ok()?;
+        self.pending.borrow_mut().remove(&id)
+    }
+
+    fn answered(&self, response: &Response<'_>) -> bool {
+        // An answer that nobody waits for any more, or never did.
+        let Some(pending) = self.take_pending(response.id) else { return true };
+        if pending.progress.get() < pending.whole {
+            // It answers what it cannot have read.
+            let _ = pending.end.send(End::Broken);
+            return false;
+        }
+        let end = match response.outcome {
+            Ok(result) if result.get().len() <= MOST_BODY => End::Result(result.to_owned()),
+            // As over HTTP: it ran, and its answer is not whole.
+            Ok(_) => End::Broken,
+            Err(_) => End::Error(response.error().map_or(code::INTERNAL, |(code, _)| code)),
+        };
+        let _ = pending.end.send(end);
+        true
+    }
+}
+
+/// Writes and reads until the connection ends, and then ends all that is on it.
+async fn converse(shared: Rc<Shared>, socket: Socket) {
+    struct Ending(Rc<Shared>);
+    impl Drop for Ending {
+        fn drop(&mut self) {
+            self.0.end_all();
+        }
+    }
+    let ending = Ending(shared);
+    let shared = &ending.0;
+    let (mut reader, mut writer) = (socket.clone(), socket);
+    let bounds = Bounds { bytes: MOST_FRAME, ..Bounds::default() };
+    let mut framer = Framer::new(shared.speech.framing, bounds);
+    loop {
+        let waiting = !shared.queue.borrow().is_empty();
+        tokio::select! {
+            written = poll_fn(|cx| shared.poll_write(&mut writer, cx)), if waiting => {
+                if written.is_err() {
+                    break;
+                }
+            }
+            read = read_some(&mut reader, &mut framer) => match read {
+                Ok(0) | Err(_) => break,
+                Ok(_) => loop {
+                    match framer.next() {
+                        Ok(Some(frame)) if shared.hear(&frame) => {}
+                        Ok(None) => break,
+                        Ok(Some(_)) | Err(_) => return,
+                    }
+                }
+            },
+            () = shared.more.notified() => {}
+        }
+    }
+}
+
+async fn read_some(socket: &mut Socket, framer: &mut Framer) -> io::Result<usize> {
+    poll_fn(|cx| {
+        let mut piece = [0; READ];
+        let mut piece = ReadBuf::new(&mut piece);
+        ready!(Pin::new(&mut *socket).poll_read(cx, &mut piece))?;
+        framer.push(piece.filled());
+        Poll::Ready(Ok(piece.filled().len()))
+    })
+    .await
+}
+
+/// Is a connection that has been idle since then over the time that it is kept?
+pub fn is_over(link: &RpcLink, kept: Duration) -> bool {
+    !link.is_usable() || link.idle_since().is_some_and(|since| since.elapsed() >= kept)
+}
--- a/crates/proxy/src/backend.rs
+++ b/crates/proxy/src/backend/mod.rs
@@ -1,9 +1,13 @@
 //! Backends: connections, attempts and probes, and what their outcomes prove.
 
+mod link;
+
+pub use link::Speech;
+
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -16,11 +20,14 @@
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
 use tokio::task::{spawn_local, AbortHandle};
 use tokio::time::{timeout_at, Instant};
 
+use self::link::{is_over, End, RpcLink};
 use crate::exchange::{remove_hop_by_hop, Ended, Message, MOST_BODY, MOST_BUFFER, TIMEOUT};
 use crate::log::say;
+use crate::mapping;
 use crate::socket::{Slot, Socket, Unread};
 
 /// The part of the backends' keep-alive time for which an idle connection is kept: well before the backend
@@ -46,6 +53,8 @@
 
 pub struct Backends {
     transport: Transport,
+    /// How its nodes speak JSON-RPC; None where they speak HTTP.
+    speech: Option<Speech>,
     most_links: Cell<usize>,
     /// Told that no configuration has it any more.
     retired: Cell<bool>,
@@ -62,6 +71,30 @@
     left: Option<Instant>,
     /// The one used last stands last.
     idle: Vec<Idle>,
+    /// Those that carry many calls at once.
+    shared: Vec<Rc<RpcLink>>,
+    /// One of these is being made.
+    dialing: Weak<Dialing>,
+}
+
+/// A connection that is being made.
+#[derive(Default)]
+struct Dialing {
+    told: Rc<Notify>,
+}
+
+impl Drop for Dialing {
+    fn drop(&mut self) {
+        self.told.notify_waiters();
+    }
+}
+
+impl Backend {
+    /// Nothing new is sent on the connections that it has.
+    fn let_go(&mut self) {
+        self.idle.clear();
+        self.shared.clear();
+    }
 }
 
 struct Idle {
@@ -93,6 +126,7 @@
     pub fn new(transport: Transport, most_links: usize) -> Backends {
         Backends {
             transport,
+            speech: None,
             most_links: Cell::new(most_links),
             retired: Cell::new(false),
             links: Rc::default(),
@@ -102,6 +136,12 @@
         }
     }
 
+    /// Its nodes speak JSON-RPC.
+    pub fn speaking(mut self, speech: Speech) -> Backends {
+        self.speech = Some(speech);
+        self
+    }
+
     fn drain_grace(&self) -> Duration {
         Duration::from_micros(self.transport.drain_grace as u64)
     }
@@ -123,6 +163,7 @@
             });
             for backend in self.all.borrow_mut().values_mut() {
                 backend.idle.retain(|i| i.since.elapsed() < kept && i.link.sender.is_ready());
+                backend.shared.retain(|link| !is_over(link, kept));
             }
         }
     }
@@ -137,10 +178,12 @@
             address,
             left: None,
             idle: Vec::new(),
+            shared: Vec::new(),
+            dialing: Weak::new(),
         });
         if backend.address != address || backend.entry.up_since != entry.up_since {
             // Another process, or another way to it.
-            backend.idle.clear();
+            backend.let_go();
         }
         backend.address = address;
         backend.entry = entry.clone();
@@ -148,7 +191,7 @@
             backend.left = None;
         } else {
             backend.left.get_or_insert_with(Instant::now);
-            backend.idle.clear();
+            backend.let_go();
         }
     }
 
@@ -158,7 +201,7 @@
             if !listed(*id) {
                 backend.entry.stage = Stage::Gone;
                 backend.left.get_or_insert_with(Instant::now);
-                backend.idle.clear();
+                backend.let_go();
             }
         }
     }
@@ -179,7 +222,7 @@
     /// Keeps no connection any longer than its request needs it.
     pub fn retire(&self) {
         self.retired.set(true);
-        self.all.borrow_mut().values_mut().for_each(|b| b.idle.clear());
+        self.all.borrow_mut().values_mut().for_each(Backend::let_go);
     }
 
     pub fn entries(&self) -> Vec<BackendEntry> {
@@ -210,8 +253,55 @@
         }
     }
 
-    /// A new connection, or why there is none.
+    /// A new connection for HTTP, or why there is none.
     async fn connect(&self, id: BackendId) -> Result<Link, Outcome> {
+        let socket = self.dial(id).await?;
+        let io = TokioIo::new(socket.clone());
+        let handshake = http1::Builder::new().max_buf_size(MOST_BUFFER).handshake(io);
+        let (sender, connection) = handshake.await.map_err(|_| Outcome::ConnectFailed)?;
+        // An error on it ends the request on it as well, and is seen there.
+        let task = spawn_local(connection);
+        Ok(Link { sender, socket, task: task.abort_handle() })
+    }
+
+    /// One that carries many calls: an open one with room, or a new one.
+    async fn shared_link(
+        &self,
+        id: BackendId,
+        speech: &Speech,
+        fresh: &mut bool,
+    ) -> Result<Rc<RpcLink>, Outcome> {
+        let open =
+            || self.all.borrow().get(&id).and_then(|b| b.shared.iter().find(|l| l.has_room()).cloned());
+        // Calls that come while the first connection is made wait for that one, and if that is not enough make their own.
+        let dialing = || self.all.borrow().get(&id).and_then(|b| b.dialing.upgrade());
+        let mut link = open();
+        if let (None, Some(other)) = (&link, dialing()) {
+            // Told when it is dropped, however the dialing ends.
+            let told = Rc::clone(&other.told);
+            drop(other);
+            told.notified().await;
+            link = open();
+        }
+        *fresh = link.is_none();
+        if let Some(link) = link {
+            return Ok(link);
+        }
+        let own = Rc::new(Dialing::default());
+        if let Some(backend) = self.all.borrow_mut().get_mut(&id).filter(|b| b.dialing.strong_count() == 0) {
+            backend.dialing = Rc::downgrade(&own);
+        }
+        let link = Rc::new(RpcLink::new(self.dial(id).await?, speech.clone()));
+        if !self.retired.get() {
+            if let Some(backend) = self.all.borrow_mut().get_mut(&id).filter(|b| b.left.is_none()) {
+                backend.shared.push(Rc::clone(&link));
+            }
+        }
+        Ok(link)
+    }
+
+    /// A new connection, or why there is none.
+    async fn dial(&self, id: BackendId) -> Result<Socket, Outcome> {
         let address = self.all.borrow().get(&id).map(|b| b.address).ok_or(Outcome::Moot)?;
         if self.links.get() >= self.most_links.get() && !self.close_oldest_idle() {
             if !self.complained_of_links.replace(true) {
@@ -225,20 +315,22 @@
         let Ok(Ok(stream)) = timeout_at(limit, TcpStream::connect(address)).await else {
             return Err(Outcome::ConnectFailed);
         };
-        let socket = Socket::new(stream, Some(slot));
-        let io = TokioIo::new(socket.clone());
-        let handshake = http1::Builder::new().max_buf_size(MOST_BUFFER).handshake(io);
-        let (sender, connection) = handshake.await.map_err(|_| Outcome::ConnectFailed)?;
-        // An error on it ends the request on it as well, and is seen there.
-        let task = spawn_local(connection);
-        Ok(Link { sender, socket, task: task.abort_handle() })
+        Ok(Socket::new(stream, Some(slot)))
     }
 
     fn close_oldest_idle(&self) -> bool {
         let mut all = self.all.borrow_mut();
         let oldest =
             all.values_mut().filter(|b| !b.idle.is_empty()).min_by_key(|b| b.idle[0].since.elapsed());
-        oldest.map(|b| b.idle.remove(0)).is_some()
+        if oldest.map(|b| b.idle.remove(0)).is_some() {
+            return true;
+        }
+        let shared = all.values_mut().flat_map(|b| {
+            let idle = b.shared.iter().enumerate().filter_map(|(i, l)| Some((l.idle_since()?, i)));
+            idle.min().map(|found| (found, &mut b.shared))
+        });
+        let oldest = shared.min_by_key(|(found, _)| *found);
+        oldest.map(|((_, place), shared)| shared.remove(place)).is_some()
     }
 
     /// May something still be sent there?
@@ -252,6 +344,12 @@
 
     /// Makes an attempt: how it ended, and the connection if that can serve again.
     pub async fn attempt(&self, order: &Order) -> (Ended, Option<Link>) {
+        if let Some(speech) = &self.speech {
+            let progress = Rc::new(Cell::new(0));
+            let ended = timeout_at(order.until, self.call(order, speech, &progress)).await;
+            let late = if progress.get() == 0 { Outcome::Moot } else { Outcome::Timeout };
+            return (ended.unwrap_or_else(|_| late.into()), None);
+        }
         let written = Cell::new(false);
         match timeout_at(order.until, self.exchange(order, &written)).await {
             Ok(result) => result,
@@ -310,6 +408,40 @@
         }
     }
 
+    /// An attempt as a call. `progress` counts its bytes that the kernel has taken.
+    async fn call(&self, order: &Order, speech: &Speech, progress: &Rc<Cell<usize>>) -> Ended {
+        let body = mapping::body(&order.message);
+        let mut fresh = false;
+        loop {
+            let link = match self.shared_link(order.backend, speech, &mut fresh).await {
+                Ok(link) => link,
+                Err(outcome) => return outcome.into(),
+            };
+            // Connecting took time: look again before anything is written.
+            let left = order.until.saturating_duration_since(Instant::now());
+            if left.is_zero() || !self.may_write(order.backend) {
+                return Outcome::Moot.into();
+            }
+            let left = left.as_millis().max(1) as u64;
+            let sent = link.send(Rc::clone(progress), |id| mapping::call_of(&order.message, &body, id, left));
+            drop(link);
+            return match sent.end().await {
+                End::Result(result) => {
+                    Ended { outcome: Outcome::Ok, report: None, answer: Some(mapping::answer_of(&result)) }
+                }
+                End::Error(jsonrpc::code::NOT_PROCESSED) => Outcome::Full.into(),
+                End::Error(_) => Outcome::Error.into(),
+                End::Broken => Outcome::Reset.into(),
+                // One that was open had just closed, and the next may serve.
+                End::Never if !fresh => {
+                    progress.set(0);
+                    continue;
+                }
+                End::Never => Outcome::ConnectFailed.into(),
+            };
+        }
+    }
+
     async fn read(&self, response: Response<Incoming>, link: Link) -> (Ended, Option<Link>) {
         let (head, body) = response.into_parts();
         let report = head.headers.get_all(LOAD_HEADER).iter().find_map(|v| self.report(v.as_bytes()));
@@ -358,6 +490,10 @@
     }
 
     pub async fn probe(&self, id: BackendId) -> Ended {
+        if self.speech.is_some() {
+            // No call asks for load.
+            return Outcome::Moot.into();
+        }
         let mut link = match self.connect(id).await {
             Ok(link) => link,
             Err(outcome) => return outcome.into(),
--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -3,6 +3,7 @@
 
 use std::cell::Cell;
 use std::rc::Rc;
+use std::sync::Arc;
 
 use bytes::Bytes;
 use decide::interface::*;
@@ -14,12 +15,26 @@
 pub const MOST_BODY: usize = 64 << 10;
 /// The largest head of a message, in bytes, and so about what a connection takes of the memory.
 pub const MOST_BUFFER: usize = 16 << 10;
+/// A request's id.
+pub const ID: &str = "x-request-id";
+/// The key by which its repeats are known.
+pub const KEY: &str = "idempotency-key";
 /// How long the client waits, in milliseconds.
 pub const TIMEOUT: &str = "x-timeout-ms";
 
 /// A request as it goes to a backend.
 pub type Message = Request<Full<Bytes>>;
 
+/// How a request stands in JSON-RPC; goes along as an extension of its message.
+#[derive(Clone, Debug)]
+pub struct Called {
+    pub method: Arc<str>,
+    /// As its caller sent them, where that was by JSON-RPC.
+    pub params: Option<Bytes>,
+    /// It came by HTTP, so that its verb and path say something.
+    pub by_http: bool,
+}
+
 /// Counts the attempts that are begun for a request, in whichever pool. Known at any time, also where nobody is
 /// left to hear the answer.
 #[derive(Clone, Debug, Default)]
--- a/crates/proxy/src/gate.rs
+++ b/crates/proxy/src/gate.rs
@@ -8,10 +8,12 @@
 use decide::settings::Names;
 use hyper::http::request::Parts;
 use hyper::{Method, StatusCode};
+use jsonrpc::Call;
 
 use crate::exchange::Attempts;
 use crate::ids::Ids;
 use crate::inbox::Handle;
+use crate::once::Once;
 
 /// Says where requests go.
 pub trait Router {
@@ -23,6 +25,15 @@
     /// What to turn it away with.
     fn way(&self, head: &mut Parts, id: &str, body: u64, connection: &Connection) -> Result<Way, Turned>;
 
+    /// A call in the form of HTTP, by whose head it then has its way; and the class, by index, if the method alone says
+    /// it.
+    ///
+    /// # Errors
+    /// There is no such method, or its `params` cannot be read.
+    fn call(&self, _call: &Call<'_>) -> Result<(Parts, Option<usize>), Turned> {
+        Err(StatusCode::NOT_FOUND.into())
+    }
+
     /// An id for a request that came without one. None where callers have to give it.
     fn new_id(&self) -> Option<String>;
 
@@ -60,6 +71,10 @@
     pub semantics: Semantics,
     pub deadline: Micros,
     pub tenant: Option<usize>,
+    /// What it is called in JSON-RPC, where a pool speaks that.
+    pub method: Option<Arc<str>>,
+    /// Where its key is known, if it has one.
+    pub once: Option<Once>,
     pub course: Box<dyn Course>,
 }
 
@@ -144,7 +159,8 @@
             }
             _ => None,
         };
-        Ok(Way { ids: None, class, semantics, deadline, tenant, course: Box::new(Only(self.handle.clone())) })
+        let course = Box::new(Only(self.handle.clone()));
+        Ok(Way { ids: None, class, semantics, deadline, tenant, method: None, once: None, course })
     }
 
     fn new_id(&self) -> Option<String> {
--- a/crates/proxy/src/hosting.rs
+++ b/crates/proxy/src/hosting.rs
@@ -15,6 +15,7 @@
 use decide::interface::{Allowed, Micros};
 use hyper::http::request::Parts;
 use hyper::{header, StatusCode};
+use jsonrpc::Call;
 use limit::{Admitted, Cause, Limiter, TenantId, Usage};
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::spawn_local;
@@ -26,6 +27,8 @@
 use crate::ids::Ids;
 use crate::inbox::Handle;
 use crate::log::say;
+use crate::mapping;
+use crate::once::Table;
 use crate::process::{self, Doors, Signals};
 use crate::routing::{route, Known, NewIds};
 use crate::snapshot::{Routed, Snapshot};
@@ -140,6 +143,8 @@
     asked: Cell<Instant>,
     /// The ids of its open requests: another's may be the same.
     ids: Ids,
+    /// The keys of its requests, whichever protocol they come by.
+    keys: Table,
 }
 
 impl House {
@@ -165,6 +170,7 @@
         for (name, tenant) in &tenants.all {
             let limits = tenants.limits(&self.shared, tenant);
             let sockets = tenants.sockets(&self.shared, tenant);
+            let keys = tenants.keys(&self.shared, tenant);
             let resident = residents.entry(name.clone()).or_insert_with(|| {
                 Rc::new(Resident {
                     id: limiter.add(now, limits),
@@ -174,8 +180,10 @@
                     snapshot: RefCell::default(),
                     asked: Cell::new(Instant::now()),
                     ids: Ids::default(),
+                    keys: Table::new(keys, self.clock),
                 })
             });
+            resident.keys.set_bounds(keys);
             limiter.set(now, resident.id, limits);
             // Another tenant's weight changes the sockets of this one, and not its version.
             let unchanged = Arc::ptr_eq(&resident.tenant.borrow(), tenant);
@@ -264,8 +272,18 @@
 impl Door {
     /// Whose a request is: the listener's tenant, or the one that has its host.
     fn owner(&self, head: &Parts) -> Result<Rc<Resident>, Turned> {
-        let state = self.house.state.borrow();
         let host = one(&head.headers, header::HOST.as_str())?.unwrap_or_default();
+        let (name, resident) = self.resident(host)?;
+        // A claim to be another's is refused, never believed.
+        if one(&head.headers, TENANT)?.is_some_and(|claimed| claimed != name) {
+            return Err(StatusCode::FORBIDDEN.into());
+        }
+        Ok(resident)
+    }
+
+    /// The listener's tenant, or the one that has this host.
+    fn resident(&self, host: &str) -> Result<(String, Rc<Resident>), Turned> {
+        let state = self.house.state.borrow();
         let host = route::normal::host(host).map_err(|_| StatusCode::BAD_REQUEST)?;
         let owner = match &self.listener.tenant {
             Some(tenant) => Some(tenant),
@@ -273,11 +291,7 @@
         };
         let resident = owner.and_then(|name| Some((name, state.residents.get(name)?)));
         let (name, resident) = resident.ok_or(StatusCode::NOT_FOUND)?;
-        // A claim to be another's is refused, never believed.
-        if one(&head.headers, TENANT)?.is_some_and(|claimed| claimed != name) {
-            return Err(StatusCode::FORBIDDEN.into());
-        }
-        Ok(Rc::clone(resident))
+        Ok((name.clone(), Rc::clone(resident)))
     }
 
     /// Counts the connection as the tenant's.
@@ -302,7 +316,7 @@
         resident.asked.set(Instant::now());
         let running = resident.snapshot.borrow().clone();
         let snapshot = running.unwrap_or_else(|| house.start(&resident));
-        let (routed, known) = route(Rc::clone(&snapshot), &self.listener, head, id)?;
+        let (routed, known) = route(Rc::clone(&snapshot), &self.listener, head, id, &resident.keys)?;
         let worth = rank(&snapshot, known.class);
         let admitted = house.limiter.borrow_mut().admit(house.clock.now(), resident.id, worth, body);
         let admitted = admitted.map_err(|r| refused(r.cause, r.retry_after))?;
@@ -313,9 +327,15 @@
             admitted: Some(admitted),
             begun: Attempts::default(),
         };
-        let Known { class, semantics, deadline } = known;
+        let Known { class, semantics, deadline, method, once } = known;
         let ids = Some(resident.ids.clone());
-        Ok(Way { ids, class, semantics, deadline, tenant: None, course: Box::new(course) })
+        Ok(Way { ids, class, semantics, deadline, tenant: None, method, once, course: Box::new(course) })
+    }
+
+    fn call(&self, call: &Call<'_>) -> Result<(Parts, Option<usize>), Turned> {
+        let resident = self.resident(&self.listener.host)?.1;
+        let methods = &resident.tenant.borrow().config.methods;
+        Ok(mapping::head_of(methods, &self.listener.host, call)?)
     }
 
     fn new_id(&self) -> Option<String> {
--- a/crates/proxy/src/own.rs
+++ b/crates/proxy/src/own.rs
@@ -8,11 +8,14 @@
 use config::{Config, Listener};
 use hyper::http::request::Parts;
 use hyper::StatusCode;
+use jsonrpc::Call;
 use tokio::task::spawn_local;
 
 use crate::clock::Clock;
 use crate::gate::{one, Connection, Router, Turned, Way, TENANT};
 use crate::log::say;
+use crate::mapping;
+use crate::once::Table;
 use crate::process::{self, Doors, Signals};
 use crate::routing::{route, Known, NewIds};
 use crate::snapshot::Snapshot;
@@ -45,13 +48,17 @@
     let addresses = doors.addresses();
     let clock = Clock::new();
     let (callers, nodes) = config.sockets_cut();
+    let keys = Table::new(config.keys, clock);
     let current = Rc::new(RefCell::new(Rc::new(Snapshot::start(Arc::new(config), nodes, None, clock, seed))));
     let open = doors.open(callers, |listener, place| {
-        Rc::new(Own { current: Rc::clone(&current), listener, new_ids: NewIds::new(seed, place) })
+        let (current, keys) = (Rc::clone(&current), keys.clone());
+        Rc::new(Own { current, listener, new_ids: NewIds::new(seed, place), keys })
     });
+    let table = keys.clone();
     let reloading = spawn_local(async move {
         while hangup.recv().await.is_some() {
             swap(&current, &reload, clock, seed);
+            table.set_bounds(current.borrow().config.keys);
         }
     });
     started(&addresses);
@@ -97,6 +104,7 @@
     current: Rc<RefCell<Rc<Snapshot>>>,
     listener: Listener,
     new_ids: NewIds,
+    keys: Table,
 }
 
 impl Router for Own {
@@ -106,9 +114,23 @@
         if one(&head.headers, TENANT)?.is_some_and(|t| !known.is_empty() && !known.iter().any(|k| k == t)) {
             return Err(StatusCode::BAD_REQUEST.into());
         }
-        let (routed, known) = route(snapshot, &self.listener, head, id)?;
-        let Known { class, semantics, deadline } = known;
-        Ok(Way { ids: None, class, semantics, deadline, tenant: None, course: Box::new(routed) })
+        let (routed, known) = route(snapshot, &self.listener, head, id, &self.keys)?;
+        let Known { class, semantics, deadline, method, once } = known;
+        Ok(Way {
+            ids: None,
+            class,
+            semantics,
+            deadline,
+            tenant: None,
+            method,
+            once,
+            course: Box::new(routed),
+        })
+    }
+
+    fn call(&self, call: &Call<'_>) -> Result<(Parts, Option<usize>), Turned> {
+        let snapshot = self.current.borrow();
+        Ok(mapping::head_of(&snapshot.config.methods, &self.listener.host, call)?)
     }
 
     fn new_id(&self) -> Option<String> {
--- a/crates/proxy/src/platform.rs
+++ b/crates/proxy/src/platform.rs
@@ -163,7 +163,7 @@
     spawn_local(reload(hangup, moved));
     say(format_args!("listening on {address}"));
     let router = Platform { handle, names: site.names, settings: site.settings, ready };
-    let gate = Gate { router: Rc::new(router), ids: Ids::default() };
+    let gate = Gate { router: Rc::new(router), ids: Ids::default(), protocol: config::Protocol::Http };
     server::run(gate, listener, config.callers, async move { signals.end().await }).await;
     Ok(())
 }
--- a/crates/proxy/src/pool.rs
+++ b/crates/proxy/src/pool.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use config::{Config, Health, Host, HostList, Node, NodeState, Source};
+use config::{Config, Health, Host, HostList, Node, NodeState, Protocol, Source};
 use decide::interface::*;
 use decide::settings::{Names, Transport};
 use route::{Count, Within};
@@ -12,7 +12,7 @@
 use tokio::task::{spawn_local, AbortHandle};
 use tokio::time::{sleep, Instant};
 
-use crate::backend::Backends;
+use crate::backend::{Backends, Speech};
 use crate::clock::Clock;
 use crate::driver::Driver;
 use crate::inbox::Handle;
@@ -54,7 +54,13 @@
         let classes = config.classes.iter().map(|c| c.name.clone()).collect();
         let names = Names::new(classes, config.zones.clone(), config.kinds.clone());
         let names = Rc::new(RefCell::new(names));
-        let backends = Rc::new(Backends::new(transport, sockets));
+        let backends = Backends::new(transport, sockets);
+        let backends = Rc::new(match pool.protocol {
+            Protocol::Http => backends,
+            Protocol::JsonRpc { framing, calls } => {
+                backends.speaking(Speech { framing, calls, cancel: pool.cancel.clone() })
+            }
+        });
         let subscribe = Rc::new(Notify::new());
         let driver = Driver::new(settings, seed, clock, Rc::clone(&backends), None, Rc::clone(&subscribe));
         let handle = driver.handle();
--- a/crates/proxy/src/process.rs
+++ b/crates/proxy/src/process.rs
@@ -76,7 +76,8 @@
         let (stop, stopped) = watch::channel(());
         let (ids, mut serving) = (Ids::default(), JoinSet::new());
         for (place, (listener, socket, address)) in self.0.into_iter().enumerate() {
-            let gate = Gate { router: router(listener, place), ids: ids.clone() };
+            let protocol = listener.protocol;
+            let gate = Gate { router: router(listener, place), ids: ids.clone(), protocol };
             let mut stopped = stopped.clone();
             serving.spawn_local(server::run(gate, socket, callers, async move {
                 let _ = stopped.changed().await;
--- a/crates/proxy/src/request.rs
+++ b/crates/proxy/src/request.rs
@@ -1,24 +1,25 @@
 //! Requests of callers: read whole and checked, or turned away before anything is sent on for them.
 
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use decide::interface::*;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
 use hyper::header::{self, HeaderValue};
+use hyper::http::request::Parts;
 use hyper::{Method, Request, StatusCode};
 use tokio::time::{timeout_at, Instant};
 
-use crate::exchange::{remove_hop_by_hop, Message, MOST_BODY, TIMEOUT};
+use crate::exchange::{remove_hop_by_hop, Answer, Called, Message, ID, KEY, MOST_BODY, TIMEOUT};
 use crate::framing;
 use crate::gate::{one, Connection, Course, Router, Turned, Way};
 use crate::ids::{Claim, Ids};
+use crate::once::{Held, Met, Once};
 use crate::socket::{Socket, Unread};
 
-const ID: &str = "x-request-id";
-const KEY: &str = "idempotency-key";
-
 /// The longest wait that makes sense, in milliseconds.
 const MOST_TIMEOUT: u64 = 24 * 3600 * 1000;
 /// A request has come whole within this time from its first byte: guards against callers that send without
@@ -35,39 +36,54 @@
     pub course: Box<dyn Course>,
     /// How long the client waits.
     pub patience: Duration,
+    /// Its key, while it is open.
+    pub held: Option<Held>,
     /// Keeps its id from being used a second time for as long as it is open.
     pub claim: Claim,
 }
 
-/// Reads a request whole, or says with which status to turn it away.
-pub async fn read(
+/// What a request comes to that is well-formed.
+pub enum Taken {
+    Sound(Box<Sound>),
+    /// It was served before: that answer again.
+    Known(Answer),
+}
+
+/// A request as its head says; its body may still be on its way.
+pub struct Opened {
+    new: NewRequest,
+    id: String,
+    key: Option<String>,
+    ids: Option<Ids>,
+    once: Option<Once>,
+    method: Option<Arc<str>>,
+    course: Box<dyn Course>,
+    pub class: usize,
+    /// How long the client waits.
+    pub patience: Duration,
+}
+
+/// Checks a head whole, and finds its way. `body_most` is the most bytes that its body may take.
+///
+/// # Errors
+/// What to turn it away with.
+pub fn open(
     router: &dyn Router,
-    ids: &Ids,
-    socket: &Socket,
     connection: &Connection,
-    request: Request<Incoming>,
-) -> Result<Sound, Turned> {
-    let began = socket.since().unwrap_or_else(Instant::now);
-    let chunked = request.headers().contains_key(header::TRANSFER_ENCODING);
-    let raw = socket.take_head();
-    let head_length = framing::check(&raw)?;
-    let (mut head, body) = request.into_parts();
-    if head.uri.authority().is_some() {
-        return Err(StatusCode::BAD_REQUEST.into());
-    }
+    head: &mut Parts,
+    body_most: u64,
+) -> Result<Opened, Turned> {
     if one(&head.headers, ID)?.is_none() {
         if let Some(id) = router.new_id().and_then(|id| HeaderValue::try_from(id).ok()) {
             head.headers.insert(ID, id);
         }
     }
     let id = one(&head.headers, ID)?.filter(|id| is_name(id)).ok_or(StatusCode::BAD_REQUEST)?.to_owned();
-    let body_most = body.size_hint().exact().unwrap_or(MOST_BODY as u64);
     if body_most > MOST_BODY as u64 {
         return Err(StatusCode::PAYLOAD_TOO_LARGE.into());
     }
-    let way = router.way(&mut head, &id, body_most, connection)?;
-    let Way { ids: of_way, class, semantics, deadline, tenant, course } = way;
-    let ids = of_way.as_ref().unwrap_or(ids);
+    let way = router.way(head, &id, body_most, connection)?;
+    let Way { ids, class, semantics, deadline, tenant, method, once, course } = way;
     let one = |name: &str| one(&head.headers, name);
     let key = one(KEY)?;
     let keyed = matches!(semantics, Semantics::Deduplicated { .. });
@@ -78,7 +94,6 @@
         Some(ms) => whole(ms).filter(|ms| (1..=MOST_TIMEOUT).contains(ms)).ok_or(StatusCode::BAD_REQUEST)?,
         None => (deadline / 1000).clamp(1, MOST_TIMEOUT as i64) as u64,
     };
-    let patience = Duration::from_millis(ms);
     let new = NewRequest {
         id: RequestId(0),
         class,
@@ -89,10 +104,63 @@
         allowed: course.allowed(),
         attempts: course.attempts(),
     };
+    let key = key.filter(|_| keyed).map(str::to_owned);
+    Ok(Opened { new, id, key, ids, once, method, course, class, patience: Duration::from_millis(ms) })
+}
+
+impl Opened {
+    /// Its body is there as well: claims its id, and its key if it has one.
+    ///
+    /// # Errors
+    /// What to turn it away with.
+    pub fn close(
+        self,
+        mut head: Parts,
+        body: Bytes,
+        called: Option<Called>,
+        ids: &Ids,
+    ) -> Result<Taken, Turned> {
+        let Opened { new, id, key, ids: own, once, method, course, patience, .. } = self;
+        let claim = own.as_ref().unwrap_or(ids).claim(&id).ok_or(StatusCode::CONFLICT)?;
+        let held = match once.zip(key).map(|(once, key)| once.meet(&key)).transpose()? {
+            Some(Met::New(held)) => Some(held),
+            Some(Met::Again(answer)) => return Ok(Taken::Known(answer)),
+            None => None,
+        };
+        remove_hop_by_hop(&mut head.headers);
+        head.extensions.clear();
+        let by_method = |method| Called { method, params: None, by_http: true };
+        if let Some(called) = called.or_else(|| method.map(by_method)) {
+            head.extensions.insert(called);
+        }
+        head.version = hyper::Version::HTTP_11;
+        let message = Rc::new(Request::from_parts(head, Full::new(body)));
+        Ok(Taken::Sound(Box::new(Sound { new, message, course, patience, held, claim })))
+    }
+}
+
+/// Reads a request over HTTP whole, or says with which status to turn it away.
+pub async fn read(
+    router: &dyn Router,
+    ids: &Ids,
+    socket: &Socket,
+    connection: &Connection,
+    request: Request<Incoming>,
+) -> Result<Taken, Turned> {
+    let began = socket.since().unwrap_or_else(Instant::now);
+    let chunked = request.headers().contains_key(header::TRANSFER_ENCODING);
+    let raw = socket.take_head();
+    let head_length = framing::check(&raw)?;
+    let (mut head, body) = request.into_parts();
+    if head.uri.authority().is_some() {
+        return Err(StatusCode::BAD_REQUEST.into());
+    }
+    let body_most = body.size_hint().exact().unwrap_or(MOST_BODY as u64);
+    let opened = open(router, connection, &mut head, body_most)?;
     if head.method == Method::GET && body.size_hint().exact() != Some(0) {
         return Err(StatusCode::BAD_REQUEST.into());
     }
-    let until = began + WHOLE.min(patience);
+    let until = began + WHOLE.min(opened.patience);
     let body = timeout_at(until, Limited::new(body, MOST_BODY).collect());
     let body = body.await.map_err(|_| StatusCode::REQUEST_TIMEOUT)?.map_err(|e| {
         if e.is::<LengthLimitError>() {
@@ -107,12 +175,7 @@
     if !chunked && socket.bytes_in() > counted || socket.unread() == Unread::Data {
         return Err(StatusCode::BAD_REQUEST.into());
     }
-    let claim = ids.claim(&id).ok_or(StatusCode::CONFLICT)?;
-    remove_hop_by_hop(&mut head.headers);
-    head.extensions.clear();
-    head.version = hyper::Version::HTTP_11;
-    let message = Rc::new(Request::from_parts(head, Full::new(body)));
-    Ok(Sound { new, message, course, patience, claim })
+    opened.close(head, body, None, ids)
 }
 
 /// An id or a key: printable, with nothing in it that ends or divides a value.
--- a/crates/proxy/src/routing.rs
+++ b/crates/proxy/src/routing.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::rc::Rc;
+use std::sync::Arc;
 
 use config::Listener;
 use decide::interface::{Micros, Semantics};
@@ -11,6 +12,7 @@
 use route::{Fields, Sent};
 
 use crate::gate::{one, Turned, CLASS, TENANT};
+use crate::once::{Once, Table};
 use crate::snapshot::{Routed, Snapshot};
 
 struct HeaderFields<'a>(&'a HeaderMap);
@@ -42,6 +44,10 @@
     pub class: usize,
     pub semantics: Semantics,
     pub deadline: Micros,
+    /// What it is called in JSON-RPC, where a pool speaks that.
+    pub method: Option<Arc<str>>,
+    /// Where its key is known.
+    pub once: Option<Once>,
 }
 
 /// Finds the route of a request, and brings its head into the form that was routed by.
@@ -53,6 +59,7 @@
     listener: &Listener,
     head: &mut Parts,
     id: &str,
+    keys: &Table,
 ) -> Result<(Routed, Known), Turned> {
     let config = &snapshot.config;
     let fields = HeaderFields(&head.headers);
@@ -95,5 +102,15 @@
     }
     let figures = &config.classes[class].figures;
     let (semantics, deadline) = (figures.semantics, figures.deadline);
-    Ok((Routed::new(snapshot, place, preferred), Known { class, semantics, deadline }))
+    let method = config.speaks_json_rpc().then(|| config.methods.of_class(class)).flatten();
+    let method = method.map(|m| Arc::clone(&m.name));
+    let once = match semantics {
+        Semantics::Deduplicated { window, .. } => {
+            let class = config.classes[class].name.as_str().into();
+            Some(Once { table: keys.clone(), class, window })
+        }
+        Semantics::Idempotent | Semantics::AtMostOnce => None,
+    };
+    let known = Known { class, semantics, deadline, method, once };
+    Ok((Routed::new(snapshot, place, preferred), known))
 }
--- /dev/null
+++ b/crates/proxy/src/server/http.rs
@@ -0,0 +1,131 @@
+//! Callers that speak HTTP/1.1: a request at a time.
+
+use std::convert::Infallible;
+use std::pin::pin;
+
+use bytes::Bytes;
+use decide::interface::*;
+use http_body_util::Full;
+use hyper::body::{Body, Incoming};
+use hyper::header::{self, HeaderValue};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use tokio::time::Instant;
+
+use super::{serving, Caller, Callers, Gate};
+use crate::exchange::{Answer, MOST_BUFFER};
+use crate::gate::Turned;
+use crate::guard::caught;
+use crate::request::{self, Taken};
+use crate::socket::{Socket, Unread};
+
+/// Says which limit refused a request.
+const CAUSE: &str = "x-refusal-cause";
+
+type Reply = Response<Full<Bytes>>;
+
+/// Serves a connection to its end.
+pub async fn serve(callers: &Callers, caller: &Caller, socket: Socket) {
+    let service = service_fn(|request: Request<Incoming>| async move {
+        caller.busy.set(true);
+        caller.asked.set(true);
+        // What follows a chunked body is not kept, so its connection ends with it.
+        let chunked = request.headers().contains_key(header::TRANSFER_ENCODING);
+        let bodiless = request.body().is_end_stream();
+        let handled = caught(handle(callers, caller, request)).await;
+        let mut reply = handled.unwrap_or_else(|| reply(StatusCode::INTERNAL_SERVER_ERROR));
+        // After a malformed request nobody knows where the next one begins.
+        // A limit refuses what is sound; only its body, if it has one, was not read.
+        let malformed = match reply.status() {
+            StatusCode::TOO_MANY_REQUESTS => !bodiless,
+            status => status.is_client_error() || status == StatusCode::NOT_IMPLEMENTED,
+        };
+        if callers.leaving.get() || caller.closing.get() || malformed || chunked {
+            reply.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+        }
+        caller.used.set(Instant::now());
+        caller.busy.set(false);
+        caller.socket.next_message(MOST_BUFFER);
+        Ok::<_, Infallible>(reply)
+    });
+    let mut connection =
+        pin!(http1::Builder::new().max_buf_size(MOST_BUFFER).serve_connection(TokioIo::new(socket), service));
+    // An error is the caller's leaving or its malformed head, which hyper has answered with 400.
+    tokio::select! {
+        biased;
+        _ = connection.as_mut() => return,
+        () = caller.drop.notified() => return,
+        () = caller.close.notified() => {}
+    }
+    // A request that has come in just now is answered first; its answer says that the connection ends.
+    if caller.busy.get() || caller.socket.unread() != Unread::Data {
+        connection.as_mut().graceful_shutdown();
+    }
+    tokio::select! {
+        _ = connection => {}
+        () = caller.drop.notified() => {}
+    }
+}
+
+async fn handle(callers: &Callers, caller: &Caller, request: Request<Incoming>) -> Reply {
+    if request.uri().path() == "/healthz" {
+        let ready = !callers.ending.get() && callers.gate.router.is_ready();
+        return reply(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE });
+    }
+    let gate = &callers.gate;
+    let received = Instant::now();
+    let answer = match request::read(&*gate.router, &gate.ids, &caller.socket, &caller.kept, request).await {
+        Ok(Taken::Sound(sound)) => serving::serve(callers, *sound, received).await,
+        Ok(Taken::Known(answer)) => answer,
+        Err(turned) => return turned_away(gate, turned),
+    };
+    match answer {
+        Answer::Served(headers, body) => {
+            let mut reply = Response::new(Full::new(body));
+            *reply.headers_mut() = headers;
+            reply
+        }
+        Answer::Refused { retry_after, .. } => {
+            let mut reply = reply(StatusCode::SERVICE_UNAVAILABLE);
+            advise(gate, &mut reply, retry_after);
+            reply
+        }
+        Answer::Failed => reply(StatusCode::BAD_GATEWAY),
+        Answer::TimedOut => reply(StatusCode::GATEWAY_TIMEOUT),
+    }
+}
+
+fn turned_away(gate: &Gate, turned: Turned) -> Reply {
+    let mut reply = reply(turned.status);
+    if let Some(cause) = turned.cause {
+        reply.headers_mut().insert(CAUSE, HeaderValue::from_static(cause));
+        if cause == limit::Cause::Connections.name() {
+            reply.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+        }
+    }
+    advise(gate, &mut reply, turned.retry_after);
+    reply
+}
+
+/// Says when to come back.
+fn advise(gate: &Gate, reply: &mut Reply, retry_after: Micros) {
+    if retry_after <= 0 {
+        return;
+    }
+    let seconds = if gate.router.whole_seconds() {
+        retry_after.saturating_add(999_999).min(TIME_LIMIT) / 1_000_000
+    } else {
+        let value = HeaderValue::from_str(&format!("{:.3}", retry_after as f64 / 1e6));
+        reply.headers_mut().insert(header::RETRY_AFTER, value.expect("digits make a header"));
+        return;
+    };
+    reply.headers_mut().insert(header::RETRY_AFTER, HeaderValue::from(seconds));
+}
+
+fn reply(status: StatusCode) -> Reply {
+    let mut reply = Response::new(Full::default());
+    *reply.status_mut() = status;
+    reply
+}
--- a/crates/proxy/src/server.rs
+++ b/crates/proxy/src/server/mod.rs
@@ -1,48 +1,33 @@
 //! Callers: their connections, their requests, and the answers they get.
 
+mod http;
+mod rpc;
+mod serving;
+
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
-use std::convert::Infallible;
 use std::future::Future;
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
-use decide::interface::*;
-use http_body_util::Full;
-use hyper::body::{Body, Incoming};
-use hyper::header::{self, HeaderValue};
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
-use hyper::{Request, Response, StatusCode};
-use hyper_util::rt::TokioIo;
+use config::Protocol;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
 use tokio::task::spawn_local;
 use tokio::time::{timeout, Instant};
 
-use crate::exchange::{Answer, MOST_BUFFER};
-use crate::gate::{Connection, Next, Router, Turned};
-use crate::guard::caught;
+use crate::exchange::MOST_BUFFER;
+use crate::gate::{Connection, Router};
 use crate::ids::Ids;
-use crate::inbox::Handle;
-use crate::request::{self, Sound};
-use crate::socket::{Socket, Unread};
+use crate::socket::Socket;
 
 /// Accepted for at least this long after the signal to end: the front takes a while to notice.
 const STILL_ACCEPTING: Duration = Duration::from_millis(500);
-/// No kill follows the signal sooner than this and the longest time that a client waits, of which so much counts.
+/// No kill follows the signal sooner than this and the longest time that a client waits, as far as that counts.
 const KILL: Duration = Duration::from_millis(700);
-const MOST_OF_WAIT: Duration = Duration::from_secs(3);
 /// Callers are served on until this much before that: most answers take less.
 const LAST_ANSWERS: Duration = Duration::from_millis(1200);
-/// What is taken after the signal has its answer this much before that.
-const KILL_MARGIN: Duration = Duration::from_millis(200);
-/// The decisions get this much less than the client's time, for the answer's way back.
-const ANSWER_WAY: Duration = Duration::from_millis(20);
-/// What the decisions still hold open then, this much before the client's time, fails.
-const BACKSTOP: Duration = Duration::from_millis(8);
 /// A caller is expected to send its first request within this time.
 const NEW: Duration = Duration::from_millis(250);
 /// The head of a request has come whole within this time: from the start of the connection for its first
@@ -56,15 +41,11 @@
 /// When the proxy ends: connections on which nothing is asked by then, after they were told, are dropped.
 const LAST_WORDS: Duration = Duration::from_secs(1);
 
-/// Says which limit refused a request.
-const CAUSE: &str = "x-refusal-cause";
-
-type Reply = Response<Full<Bytes>>;
-
 /// What requests are read by and handed to.
 pub struct Gate {
     pub router: Rc<dyn Router>,
     pub ids: Ids,
+    pub protocol: Protocol,
 }
 
 /// The open connections of callers.
@@ -153,7 +134,9 @@
     loop {
         tokio::time::sleep(LOOK).await;
         for caller in callers.all.borrow().values().filter(|c| !c.busy.get()) {
-            let since = if caller.asked.get() { caller.socket.since() } else { Some(caller.used.get()) };
+            // Calls come when they come; what is begun is to be ended.
+            let patient = caller.asked.get() || callers.gate.protocol != Protocol::Http;
+            let since = if patient { caller.socket.since() } else { Some(caller.used.get()) };
             if since.is_some_and(|since| since.elapsed() > HEAD) {
                 caller.drop.notify_one();
             }
@@ -218,7 +201,8 @@
 
 fn serve(callers: &Rc<Callers>, stream: TcpStream, accepted: &mut u64) {
     *accepted += 1;
-    let socket = Socket::keeping(stream, MOST_BUFFER);
+    let head = if callers.gate.protocol == Protocol::Http { MOST_BUFFER } else { 0 };
+    let socket = Socket::keeping(stream, head);
     let caller = Rc::new(Caller {
         socket: socket.clone(),
         busy: Cell::new(false),
@@ -233,153 +217,15 @@
     let registered = Registered(Rc::clone(callers), *accepted);
     spawn_local(async move {
         let callers = &registered.0;
-        let service = service_fn(|request: Request<Incoming>| {
-            let (caller, callers) = (&caller, &callers);
-            async move {
-                caller.busy.set(true);
-                caller.asked.set(true);
-                // What follows a chunked body is not kept, so its connection ends with it.
-                let chunked = request.headers().contains_key(header::TRANSFER_ENCODING);
-                let bodiless = request.body().is_end_stream();
-                let handled = caught(handle(callers, caller, request)).await;
-                let mut reply = handled.unwrap_or_else(|| reply(StatusCode::INTERNAL_SERVER_ERROR));
-                // After a malformed request nobody knows where the next one begins.
-                // A limit refuses what is sound; only its body, if it has one, was not read.
-                let malformed = match reply.status() {
-                    StatusCode::TOO_MANY_REQUESTS => !bodiless,
-                    status => status.is_client_error() || status == StatusCode::NOT_IMPLEMENTED,
-                };
-                if callers.leaving.get() || caller.closing.get() || malformed || chunked {
-                    reply.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
-                }
-                caller.used.set(Instant::now());
-                caller.busy.set(false);
-                caller.socket.next_message(MOST_BUFFER);
-                Ok::<_, Infallible>(reply)
+        match callers.gate.protocol {
+            Protocol::Http => http::serve(callers, &caller, socket).await,
+            Protocol::JsonRpc { framing, calls } => {
+                rpc::serve(callers, &caller, socket, framing, calls).await
             }
-        });
-        let mut connection = pin!(http1::Builder::new()
-            .max_buf_size(MOST_BUFFER)
-            .serve_connection(TokioIo::new(socket), service));
-        // An error is the caller's leaving or its malformed head, which hyper has answered with 400.
-        tokio::select! {
-            biased;
-            _ = connection.as_mut() => return,
-            () = caller.drop.notified() => return,
-            () = caller.close.notified() => {}
-        }
-        // A request that has come in just now is answered first; its answer says that the connection ends.
-        if caller.busy.get() || caller.socket.unread() != Unread::Data {
-            connection.as_mut().graceful_shutdown();
-        }
-        tokio::select! {
-            _ = connection => {}
-            () = caller.drop.notified() => {}
         }
     });
 }
 
-async fn handle(callers: &Callers, caller: &Caller, request: Request<Incoming>) -> Reply {
-    if request.uri().path() == "/healthz" {
-        let ready = !callers.ending.get() && callers.gate.router.is_ready();
-        return reply(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE });
-    }
-    let gate = &callers.gate;
-    let received = Instant::now();
-    let sound = request::read(&*gate.router, &gate.ids, &caller.socket, &caller.kept, request).await;
-    let Sound { mut new, message, mut course, patience, claim: _claim } = match sound {
-        Ok(sound) => sound,
-        Err(turned) => return turned_away(gate, turned),
-    };
-    callers.wait.set(callers.wait.get().max(patience.min(MOST_OF_WAIT)));
-    // What would still be open when the kill comes gets its answer before that.
-    let left = callers.kill.get().map(|at| at.saturating_duration_since(received + KILL_MARGIN));
-    let patience = left.map_or(patience, |left| patience.min(left));
-    let backstop = received + patience.saturating_sub(BACKSTOP);
-    // The decisions get this much less, for the answer's way back.
-    let decided = patience.saturating_sub(ANSWER_WAY.min(patience / 10));
-    let mut spent = Duration::ZERO;
-    let answer = loop {
-        new.time_left = decided.saturating_sub(spent).as_micros() as Micros;
-        let handle = course.handle().clone();
-        let (id, answer) = handle.request(new.clone(), Rc::clone(&message), course.begun());
-        let gone = Gone(&handle, id);
-        let answer = match tokio::time::timeout_at(backstop, answer).await {
-            Ok(Ok(answer)) => answer,
-            Ok(Err(_)) => Answer::Failed,
-            Err(_) => Answer::TimedOut,
-        };
-        // Where no answer came, the request ends here, and so do its attempts.
-        drop(gone);
-        let Answer::Refused { never_ran, .. } = answer else { break answer };
-        match course.refused(never_ran) {
-            Next::Answer => break answer,
-            Next::Fail => break Answer::Failed,
-            Next::Again => {
-                new.allowed = course.allowed();
-                new.attempts = course.attempts();
-                spent = received.elapsed();
-            }
-        }
-    };
-    match answer {
-        Answer::Served(headers, body) => {
-            let mut reply = Response::new(Full::new(body));
-            *reply.headers_mut() = headers;
-            reply
-        }
-        Answer::Refused { retry_after, .. } => {
-            let mut reply = reply(StatusCode::SERVICE_UNAVAILABLE);
-            advise(gate, &mut reply, retry_after);
-            reply
-        }
-        Answer::Failed => reply(StatusCode::BAD_GATEWAY),
-        Answer::TimedOut => reply(StatusCode::GATEWAY_TIMEOUT),
-    }
-}
-
-/// Tells the driver that nobody waits for a request any more; after its answer that changes nothing.
-struct Gone<'a>(&'a Handle, RequestId);
-
-impl Drop for Gone<'_> {
-    fn drop(&mut self) {
-        self.0.client_gone(self.1);
-    }
-}
-
-fn turned_away(gate: &Gate, turned: Turned) -> Reply {
-    let mut reply = reply(turned.status);
-    if let Some(cause) = turned.cause {
-        reply.headers_mut().insert(CAUSE, HeaderValue::from_static(cause));
-        if cause == limit::Cause::Connections.name() {
-            reply.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
-        }
-    }
-    advise(gate, &mut reply, turned.retry_after);
-    reply
-}
-
-/// Says when to come back.
-fn advise(gate: &Gate, reply: &mut Reply, retry_after: Micros) {
-    if retry_after <= 0 {
-        return;
-    }
-    let seconds = if gate.router.whole_seconds() {
-        retry_after.saturating_add(999_999).min(TIME_LIMIT) / 1_000_000
-    } else {
-        let value = HeaderValue::from_str(&format!("{:.3}", retry_after as f64 / 1e6));
-        reply.headers_mut().insert(header::RETRY_AFTER, value.expect("digits make a header"));
-        return;
-    };
-    reply.headers_mut().insert(header::RETRY_AFTER, HeaderValue::from(seconds));
-}
-
-fn reply(status: StatusCode) -> Reply {
-    let mut reply = Response::new(Full::default());
-    *reply.status_mut() = status;
-    reply
-}
-
 #[cfg(test)]
 mod tests {
     use std::io::{BufRead, BufReader, Write};
@@ -411,7 +257,7 @@
                 settings: site.settings,
                 ready: Rc::default(),
             };
-            let gate = Gate { router: Rc::new(router), ids: Ids::default() };
+            let gate = Gate { router: Rc::new(router), ids: Ids::default(), protocol: Protocol::Http };
             let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
             let address = listener.local_addr().expect("bound");
             let (answered, answer) = oneshot::channel();
--- /dev/null
+++ b/crates/proxy/src/server/serving.rs
@@ -0,0 +1,72 @@
+//! From a sound request to its one final answer, whichever protocol it came by.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use decide::interface::*;
+use tokio::time::Instant;
+
+use super::Callers;
+use crate::exchange::Answer;
+use crate::gate::Next;
+use crate::inbox::Handle;
+use crate::request::Sound;
+
+/// No kill is waited for beyond this of the longest time that a client waits.
+const MOST_OF_WAIT: Duration = Duration::from_secs(3);
+/// What is taken after the signal has its answer this much before the kill.
+const KILL_MARGIN: Duration = Duration::from_millis(200);
+/// The decisions get this much less than the client's time, for the answer's way back.
+const ANSWER_WAY: Duration = Duration::from_millis(20);
+/// What the decisions still hold open then, this much before the client's time, fails.
+const BACKSTOP: Duration = Duration::from_millis(8);
+
+/// Hands a request to the decisions, of one pool after another where it is refused, until it has its answer. Dropping
+/// this tells them that its client left.
+pub async fn serve(callers: &Callers, sound: Sound, received: Instant) -> Answer {
+    let Sound { mut new, message, mut course, patience, mut held, claim: _claim } = sound;
+    callers.wait.set(callers.wait.get().max(patience.min(MOST_OF_WAIT)));
+    // What would still be open when the kill comes gets its answer before that.
+    let left = callers.kill.get().map(|at| at.saturating_duration_since(received + KILL_MARGIN));
+    let patience = left.map_or(patience, |left| patience.min(left));
+    let backstop = received + patience.saturating_sub(BACKSTOP);
+    // The decisions get this much less, for the answer's way back.
+    let decided = patience.saturating_sub(ANSWER_WAY.min(patience / 10));
+    let mut spent = Duration::ZERO;
+    let answer = loop {
+        new.time_left = decided.saturating_sub(spent).as_micros() as Micros;
+        let handle = course.handle().clone();
+        let (id, answer) = handle.request(new.clone(), Rc::clone(&message), course.begun());
+        let gone = Gone(&handle, id);
+        let answer = match tokio::time::timeout_at(backstop, answer).await {
+            Ok(Ok(answer)) => answer,
+            Ok(Err(_)) => Answer::Failed,
+            Err(_) => Answer::TimedOut,
+        };
+        // Where no answer came, the request ends here, and so do its attempts.
+        drop(gone);
+        let Answer::Refused { never_ran, .. } = answer else { break answer };
+        match course.refused(never_ran) {
+            Next::Answer => break answer,
+            Next::Fail => break Answer::Failed,
+            Next::Again => {
+                new.allowed = course.allowed();
+                new.attempts = course.attempts();
+                spent = received.elapsed();
+            }
+        }
+    };
+    if let Some(held) = &mut held {
+        held.answered(&answer);
+    }
+    answer
+}
+
+/// Tells the driver that nobody waits for a request any more; after its answer that changes nothing.
+struct Gone<'a>(&'a Handle, RequestId);
+
+impl Drop for Gone<'_> {
+    fn drop(&mut self) {
+        self.0.client_gone(self.1);
+    }
+}
--- a/crates/testkit/src/backend.rs
+++ b/crates/testkit/src/backend.rs
@@ -20,7 +20,7 @@
         self.1.notify_all();
     }
 
-    fn wait(&self) {
+    pub fn wait(&self) {
         let held = self.0.lock().expect("unpoisoned");
         let (_released, _) =
             self.1.wait_timeout_while(held, PATIENCE, |released| !*released).expect("unpoisoned");
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -6,12 +6,14 @@
 pub mod discovery;
 pub mod message;
 pub mod node;
+pub mod rpc;
 
 pub use backend::*;
 pub use caller::*;
 pub use discovery::*;
 pub use message::*;
 pub use node::*;
+pub use rpc::{Frames, Reply, RpcCaller, RpcNode, Told as RpcTold};
 
 use std::time::Duration;
 
--- /dev/null
+++ b/tests/jsonrpc.rs
@@ -0,0 +1,559 @@
+//! JSON-RPC through sockets: callers and nodes of both protocols, with stand-ins that share no code with the proxy.
+#[path = "stubs/rpc.rs"]
+mod rpc;
+mod stubs;
+
+use std::collections::BTreeSet;
+use std::io::{Read, Write};
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use rpc::*;
+use serde_json::{json, Value};
+use stubs::*;
+use testkit::rpc::request;
+
+fn code(answer: &Value) -> i64 {
+    answer["error"]["code"].as_i64().unwrap_or_else(|| panic!("no error: {answer}"))
+}
+
+// ---- Messages ----
+
+#[test]
+fn the_cases_of_the_specification() {
+    let node = RpcNode::new(Frames::Lines, [Reply::Result(json!(19))]);
+    let proxy = Both::start(&Site::rpc(&[node.address]));
+    let mut caller = proxy.rpc();
+    let null = |code: i64, answer: &Value| {
+        assert_eq!((&answer["id"], answer["error"]["code"].as_i64()), (&Value::Null, Some(code)), "{answer}");
+    };
+    assert_eq!(caller.ask(r#"{"jsonrpc":"2.0","method":"standings","params":[42,23],"id":1}"#)["result"], 19);
+    assert_eq!(caller.ask(r#"{"jsonrpc":"2.0","method":"standings","id":"2"}"#)["id"], "2");
+    assert_eq!(code(&caller.ask(r#"{"jsonrpc":"2.0","method":"foobar","id":"1"}"#)), -32601);
+    null(-32700, &caller.ask(r#"{"jsonrpc":"2.0","method":"foobar,"params":"bar","baz]"#));
+    null(-32600, &caller.ask(r#"{"jsonrpc":"2.0","method":1,"params":"bar"}"#));
+    null(
+        -32700,
+        &caller
+            .ask(r#"[{"jsonrpc":"2.0","method":"sum","params":[1,2,4],"id":"1"},{"jsonrpc":"2.0","method"]"#),
+    );
+    null(-32600, &caller.ask("[]"));
+    let three = caller.ask("[1,2,3]");
+    assert_eq!(three.as_array().map(Vec::len), Some(3));
+    three.as_array().into_iter().flatten().for_each(|one| null(-32600, one));
+    // Notifications have no answer, alone or together; an answer that nobody asked for is passed over.
+    caller.send(r#"{"jsonrpc":"2.0","method":"standings","params":[1]}"#);
+    caller.send(r#"[{"jsonrpc":"2.0","method":"standings"},{"jsonrpc":"2.0","method":"foobar"}]"#);
+    caller.send(r#"{"jsonrpc":"2.0","result":1,"id":7}"#);
+    assert_eq!(caller.call(9, "standings", json!({}))["id"], 9);
+}
+
+#[test]
+fn ids_come_back_as_they_were_sent() {
+    let node = RpcNode::new(Frames::Lengths, [Reply::Result(json!(null))]);
+    let proxy = Both::start(&Site { frames: Frames::Lengths, ..Site::rpc(&[node.address]) });
+    let mut caller = proxy.rpc();
+    let digits = format!("-1{}", "0".repeat(400));
+    for id in [digits.as_str(), r#""A\n""#, r#""""#, "null", "0", "18446744073709551616"] {
+        let message = format!(r#"{{"id":{id},"jsonrpc":"2.0","method":"standings"}}"#);
+        caller.send(&message);
+        let text = caller.try_hear_text().expect("an answer");
+        assert!(text.contains(&format!("\"id\":{id},\"result\":null")), "{id}: {text}");
+    }
+    // What the node gets are the proxy's own, each another.
+    let own: BTreeSet<String> =
+        node.calls().iter().map(|c| c["id"].as_str().expect("a string").to_owned()).collect();
+    assert_eq!(own.len(), 6);
+    for bad in ["1.5", "1e3", "{}", "true", r#""\ud800""#] {
+        caller.send(&format!(r#"{{"id":{bad},"jsonrpc":"2.0","method":"standings"}}"#));
+        assert_eq!(code(&caller.hear()), -32600, "{bad}");
+    }
+    caller.send(r#"{"id":1,"id":2,"jsonrpc":"2.0","method":"standings"}"#);
+    assert_eq!(caller.hear()["id"], Value::Null, "which of the two is meant?");
+    caller.send_bytes(b"Content-Length: 3\r\n\r\n\"\xff\"");
+    assert_eq!(code(&caller.hear()), -32700);
+    assert!(node.calls().is_empty());
+}
+
+#[test]
+fn a_message_without_end_is_refused_and_holds_nothing() {
+    let node = RpcNode::new(Frames::Lines, [Reply::Echo]);
+    let proxy = Both::start(&Site::rpc(&[node.address]));
+    proxy.rpc().call(1, "standings", json!({}));
+    let (_, before) = proxy.process.holds();
+    let mut caller = proxy.rpc();
+    let mut stream = caller.stream().try_clone().expect("a copy");
+    let sending = thread::spawn(move || {
+        // 200 MB, if it were taken.
+        let piece = vec![b'x'; 1 << 20];
+        (0..200).take_while(|_| stream.write_all(&piece).is_ok()).count()
+    });
+    let answer = caller.hear();
+    assert_eq!((code(&answer), &answer["id"]), (-32005, &Value::Null));
+    assert_eq!(caller.hear()["method"], "$/closing");
+    let sent = sending.join().expect("it ends");
+    let (_, after) = proxy.process.holds();
+    assert!(after < before + (8 << 10), "{before} kB, then {after} kB, with {sent} MB sent");
+    // A head that is none.
+    let lengths = Both::start(&Site { frames: Frames::Lengths, ..Site::rpc(&[node.address]) });
+    let mut caller = lengths.rpc();
+    caller.send_bytes(b"GET / HTTP/1.1\r\n\r\n");
+    assert_eq!(code(&caller.hear()), -32700);
+}
+
+// ---- Many calls at once ----
+
+#[test]
+fn answers_come_in_any_order_and_the_bound_stops_the_reading() {
+    let release = Arc::new(Release::default());
+    let held = Reply::Held(Arc::clone(&release), json!("late"));
+    let node = RpcNode::new(Frames::Lines, [held.clone(), Reply::Result(json!("soon")), held.clone(), held]);
+    let site = Site { listen: ", calls = 2".to_owned(), ..Site::rpc(&[node.address]) };
+    let proxy = Both::start(&site);
+    let mut caller = proxy.rpc();
+    caller.send(&request(1, "standings", json!({})));
+    node.call();
+    caller.send(&request(2, "standings", json!({})));
+    assert_eq!((&caller.hear()["result"], node.call().0), (&json!("soon"), 0), "on the same connection");
+    // An id that is open, and one in other spelling.
+    caller.send(&request(1, "standings", json!({})));
+    assert_eq!(code(&caller.hear()), -32003);
+    for id in 3..=10 {
+        caller.send(&request(id, "standings", json!({})));
+    }
+    assert_eq!(node.call().1["method"], "standings");
+    // Another caller is served meanwhile; of this one nothing more has been read.
+    proxy.rpc().send(&request(99, "standings", json!({})));
+    assert_eq!(node.call().1["params"]["_meta"]["verb"], Value::Null);
+    assert!(node.calls().is_empty());
+    release.release();
+    let answered: BTreeSet<i64> = (0..9).map(|_| caller.hear()["id"].as_i64().expect("a number")).collect();
+    assert_eq!(answered, BTreeSet::from([1, 3, 4, 5, 6, 7, 8, 9, 10]));
+}
+
+#[test]
+fn a_batch_is_decided_one_by_one_and_answered_together() {
+    let node = RpcNode::of(Frames::Lines, |call| match call["params"]["do"].as_str() {
+        Some("fail") => Reply::Error(-32050),
+        Some("full") => Reply::Error(-32004),
+        Some("hang") => Reply::Silence,
+        _ => Reply::Echo,
+    });
+    let proxy = Both::start(&Site::rpc(&[node.address]));
+    let mut caller = proxy.rpc();
+    let batch = format!(
+        "[{},{},{},{},{},{}]",
+        request(1, "standings", json!({})),
+        request(2, "close-round", json!({ "do": "full" })),
+        request(3, "close-round", json!({ "do": "fail" })),
+        r#"{"jsonrpc":"2.0","id":4,"method":7}"#,
+        r#"{"jsonrpc":"2.0","method":"close-round","params":{"note":1}}"#,
+        request("five", "report-result", json!({})),
+    );
+    let answers = caller.ask(&batch);
+    let answers = answers.as_array().expect("answers");
+    let of = |id: Value| answers.iter().find(|a| a["id"] == id).unwrap_or_else(|| panic!("none for {id}"));
+    assert_eq!(answers.len(), 5, "{answers:?}");
+    assert_eq!(of(json!(1))["result"]["method"], "standings");
+    assert_eq!(code(of(json!(2))), -32000, "nothing ran: a refusal");
+    assert_eq!(code(of(json!(3))), -32001, "it may have run");
+    assert_eq!(code(of(json!(4))), -32600);
+    assert_eq!(code(of(json!("five"))), -32602, "its class wants a key");
+    // The notification ran once as well; nothing that may have run was sent again.
+    let calls = node.calls();
+    let ran = |what: &Value| {
+        calls.iter().filter(|c| c["params"]["do"] == *what && c["method"] == "close-round").count()
+    };
+    assert_eq!((ran(&json!("fail")), ran(&Value::Null)), (1, 1));
+    let proxy = Both::start(&Site { aim_ms: 300, ..Site::rpc(&[node.address]) });
+    let mut caller = proxy.rpc();
+    // One that hangs holds the others up no longer than the most impatient of them waits.
+    let since = Instant::now();
+    let slow = format!(
+        "[{},{}]",
+        request(1, "close-round", json!({ "do": "hang" })),
+        request(2, "standings", json!({ "_meta": { "timeoutMs": 400 } })),
+    );
+    let answers = caller.ask(&slow);
+    assert!(since.elapsed() < Duration::from_secs(3), "{:?}", since.elapsed());
+    let of =
+        |id: i64| answers.as_array().into_iter().flatten().find(|a| a["id"] == id).expect("answered").clone();
+    assert_eq!((code(&of(1)), &of(2)["result"]["method"]), (-32002, &json!("standings")));
+}
+
+#[test]
+fn a_caller_that_never_reads_holds_what_the_bound_says() {
+    let node = RpcNode::new(Frames::Lines, [Reply::Result(json!("x".repeat(60_000)))]);
+    let proxy = Both::start(&Site::rpc(&[node.address]));
+    proxy.rpc().call(0, "standings", json!({}));
+    let (_, before) = proxy.process.holds();
+    let deaf = proxy.rpc();
+    deaf.stream().set_nonblocking(true).expect("set");
+    let mut sent = 0;
+    let since = Instant::now();
+    // Until nothing more of it is taken.
+    while since.elapsed() < Duration::from_secs(3) && sent < 20_000 {
+        let call = Frames::Lines.write(&request(sent, "standings", json!({ "pad": "y".repeat(2_000) })));
+        match deaf.stream().write(&call) {
+            Ok(n) if n == call.len() => sent += 1,
+            _ => thread::sleep(Duration::from_millis(10)),
+        }
+        proxy.rpc().call(1, "standings", json!({}));
+    }
+    let (_, after) = proxy.process.holds();
+    assert!(after < before + (16 << 10), "{before} kB, then {after} kB after {sent} calls");
+    let _ = deaf.stream().shutdown(std::net::Shutdown::Both);
+}
+
+#[test]
+fn half_a_message_is_not_waited_for_and_silence_is() {
+    let node = RpcNode::new(Frames::Lines, [Reply::Echo]);
+    let proxy = Both::start(&Site::rpc(&[node.address]));
+    let mut silent = proxy.rpc();
+    let mut slow = proxy.rpc();
+    let since = Instant::now();
+    let mut stream = slow.stream().try_clone().expect("a copy");
+    thread::spawn(move || {
+        while stream.write_all(b"{").is_ok() {
+            thread::sleep(Duration::from_millis(300));
+        }
+    });
+    assert!(slow.try_hear().is_none());
+    assert!(since.elapsed() > Duration::from_secs(2), "{:?}", since.elapsed());
+    assert_eq!(silent.call(1, "standings", json!({}))["id"], 1);
+}
+
+// ---- Ends of connections ----
+
+#[test]
+fn a_caller_that_leaves_is_told_to_the_decisions_and_the_node() {
+    let node = RpcNode::new(Frames::Lines, [Reply::Silence]);
+    let site = Site { pool: ", cancel = \"$/cancelRequest\"".to_owned(), ..Site::rpc(&[node.address]) };
+    let proxy = Both::start(&site);
+    let mut caller = proxy.rpc();
+    caller.send(&format!(
+        "[{},{}]",
+        request(1, "close-round", json!({})),
+        r#"{"jsonrpc":"2.0","method":"close-round","params":{}}"#
+    ));
+    let ids: BTreeSet<String> = (0..2).map(|_| node.call().1["id"].to_string()).collect();
+    drop(caller);
+    let called_off: BTreeSet<String> = (0..2)
+        .map(|_| {
+            let notice = node.call().1;
+            assert_eq!(notice["method"], "$/cancelRequest", "unsafe work is not sent again: {notice}");
+            notice["params"]["id"].to_string()
+        })
+        .collect();
+    assert_eq!(called_off, ids);
+    // The connection goes on.
+    let mut caller = proxy.rpc();
+    caller.send(&request(1, "standings", json!({})));
+    assert_eq!(node.call().0, 0);
+}
+
+/// A connection breaks with calls on it that were not written, written in part, written, answered: each has one answer,
+/// what may have run is not sent again, and what was not written whole is.
+#[test]
+fn a_broken_connection_ends_each_of_its_calls_by_itself() {
+    const CALLS: usize = 150;
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+    socket2::SockRef::from(&listener).set_recv_buffer_size(4 << 10).expect("set");
+    let breaks = listener.local_addr().expect("bound");
+    // Reads some calls whole, answers three of them, then waits until all it gets is stuck, and breaks.
+    let (told, read) = std::sync::mpsc::channel();
+    let go = Arc::new(Release::default());
+    let wait = Arc::clone(&go);
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let (told, wait) = (told.clone(), Arc::clone(&wait));
+            thread::spawn(move || {
+                let mut reader =
+                    std::io::BufReader::with_capacity(1 << 10, stream.try_clone().expect("a copy"));
+                for n in 0..6 {
+                    let Some(text) = Frames::Lines.read(&mut reader) else { return };
+                    let call: Value = serde_json::from_str(&text).expect("JSON");
+                    told.send(call["params"]["n"].as_u64().expect("a number")).expect("heard");
+                    if n < 3 {
+                        let answer =
+                            json!({ "jsonrpc": "2.0", "id": call["id"], "result": "first" }).to_string();
+                        (&stream).write_all(&Frames::Lines.write(&answer)).expect("written");
+                    }
+                }
+                wait.wait();
+                // Unread bytes make this a reset.
+            });
+        }
+    });
+    let sound = RpcNode::new(Frames::Lines, [Reply::Result(json!("second"))]);
+    let site = Site {
+        listen: ", calls = 200".to_owned(),
+        pool: ", calls = 200".to_owned(),
+        ..Site::rpc(&[breaks, sound.address])
+    };
+    let proxy = Both::start(&site);
+    let mut caller = proxy.rpc();
+    for n in 0..CALLS {
+        caller.send(&request(
+            n,
+            "close-round",
+            json!({ "n": n, "pad": "z".repeat(60_000), "_meta": { "timeoutMs": 20_000 } }),
+        ));
+    }
+    let mut answers: Vec<Value> = Vec::new();
+    let mut whole: BTreeSet<u64> = BTreeSet::new();
+    // The first have been read and answered; then the connection goes.
+    whole.extend((0..6).map(|_| read.recv_timeout(PATIENCE).expect("a call")));
+    while answers.iter().filter(|a| a["result"] == "first").count() < 3 {
+        answers.push(caller.hear());
+    }
+    go.release();
+    while answers.len() < CALLS {
+        answers.push(caller.hear());
+    }
+    whole.extend(read.try_iter());
+    let ids: BTreeSet<u64> = answers.iter().map(|a| a["id"].as_u64().expect("a number")).collect();
+    assert_eq!(ids.len(), CALLS, "one answer each");
+    let second: BTreeSet<u64> =
+        sound.calls().iter().map(|c| c["params"]["n"].as_u64().expect("a number")).collect();
+    assert!(second.is_disjoint(&whole), "ran twice: {:?}", second.intersection(&whole).collect::<Vec<_>>());
+    for answer in &answers {
+        match answer["result"].as_str() {
+            Some("first") => {}
+            Some(_) => assert!(second.contains(&answer["id"].as_u64().expect("a number"))),
+            // Refused is what cannot have run; it must not have been read whole.
+            None if code(answer) == -32000 => {
+                assert!(!whole.contains(&answer["id"].as_u64().expect("a number")))
+            }
+            None => assert!(matches!(code(answer), -32001 | -32002), "{answer}"),
+        }
+    }
+    let failed = answers.iter().filter(|a| a["error"].is_object() && code(a) != -32000).count();
+    assert!(failed >= 3, "those that it read and did not answer: {failed}");
+}
+
+#[test]
+fn answers_that_nobody_waits_for_are_nobodys() {
+    let twice = "{\"jsonrpc\":\"2.0\",\"id\":$ID,\"result\":1}\n{\"jsonrpc\":\"2.0\",\"id\":$ID,\"result\":2}\n{\"jsonrpc\":\"2.0\",\"id\":\"never\",\"result\":3}\n";
+    let node = RpcNode::new(Frames::Lines, [Reply::Raw(twice.to_owned()), Reply::Echo]);
+    let proxy = Both::start(&Site::rpc(&[node.address]));
+    let mut caller = proxy.rpc();
+    assert_eq!(caller.call(1, "close-round", json!({}))["result"], 1);
+    let echo = caller.call(2, "close-round", json!({}));
+    assert_eq!((&echo["id"], &echo["result"]["method"]), (&json!(2), &json!("close-round")));
+    // What is no answer ends the one it is for, which may have run; what is no message ends the connection.
+    let node = RpcNode::new(
+        Frames::Lines,
+        [
+            Reply::Raw("{\"id\":$ID,\"result\":1}\n".to_owned()),
+            Reply::Raw("{\"id\":$ID,\n".to_owned()),
+            Reply::Echo,
+        ],
+    );
+    let proxy = Both::start(&Site::rpc(&[node.address]));
+    let mut caller = proxy.rpc();
+    assert_eq!(code(&caller.call(1, "close-round", json!({}))), -32001);
+    assert_eq!(code(&caller.call(2, "close-round", json!({}))), -32001);
+    assert_eq!(caller.call(3, "close-round", json!({}))["result"]["method"], "close-round");
+    assert_eq!(node.calls().len(), 3);
+}
+
+#[test]
+fn an_end_and_a_reload_answer_what_was_taken() {
+    let release = Arc::new(Release::default());
+    let node = RpcNode::new(Frames::Lines, [Reply::Held(Arc::clone(&release), json!("old"))]);
+    let next = RpcNode::new(Frames::Lines, [Reply::Result(json!("new"))]);
+    let (site, other) = (Site::rpc(&[node.address]), Site::rpc(&[next.address]));
+    let mut proxy = Both::start(&site);
+    let mut caller = proxy.rpc();
+    caller.send(&request(1, "close-round", json!({})));
+    node.call();
+    proxy.process.reload(&other.config());
+    proxy.process.says("configuration 2:");
+    assert_eq!(
+        caller.call(2, "close-round", json!({}))["result"],
+        "new",
+        "a stream goes on under the next one"
+    );
+    proxy.process.terminate();
+    // Its port stays open for a while, and what comes is served.
+    assert_eq!(proxy.rpc().call(3, "standings", json!({}))["result"], "new");
+    let waiting = thread::spawn(move || {
+        thread::sleep(Duration::from_millis(700));
+        release.release();
+    });
+    assert_eq!(caller.hear()["result"], "old");
+    let notice = caller.hear();
+    assert_eq!((&notice["method"], &notice["params"]["taken"]), (&json!("$/closing"), &json!(2)));
+    assert!(caller.try_hear().is_none());
+    waiting.join().expect("it ends");
+    assert!(proxy.process.end().success());
+}
+
+// ---- Two protocols ----
+
+#[test]
+fn all_four_ways_serve_the_same() {
+    let json =
+        "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: 12\r\n\r\n{\"n\":1e400 }";
+    let http = Backend::new([Deed::Answer(json.to_owned())]);
+    let node = RpcNode::new(
+        Frames::Lines,
+        [Reply::Raw("{\"jsonrpc\":\"2.0\",\"id\":$ID,\"result\":{\"n\":1e400 }}\n".to_owned())],
+    );
+    let brief = |site: Site| Both::start(&Site { aim_ms: 300, ..site });
+    let (to_http, to_rpc) = (brief(Site::http(&[http.address])), brief(Site::rpc(&[node.address])));
+    let post = "POST /report-result/12?a=b HTTP/1.1\r\nHost: h\r\nIdempotency-Key: k\r\nX-Timeout-Ms: 900\r\nContent-Length: 7\r\n\r\n{\"a\":1}";
+    let call = request(1, "report-result", json!({ "key": "k2", "a": 1, "_meta": { "timeoutMs": 900 } }));
+    for proxy in [&to_http, &to_rpc] {
+        let answer = proxy.process.ask(post);
+        assert_eq!((answer.status(), &*answer.body), (200, &b"{\"n\":1e400 }"[..]));
+        let mut caller = proxy.rpc();
+        caller.send(&call);
+        assert!(caller.try_hear_text().expect("an answer").contains("\"result\":{\"n\":1e400 }"));
+    }
+    let (by_http, by_rpc) = (http.request().1, http.request().1);
+    assert_eq!(
+        (&*by_http.line, &*by_rpc.line),
+        ("POST /report-result/12?a=b HTTP/1.1", "POST /report-result/k2 HTTP/1.1")
+    );
+    assert_eq!(by_rpc.header("Idempotency-Key"), Some("k2"));
+    assert_eq!(serde_json::from_slice::<Value>(&by_rpc.body).expect("JSON")["a"], 1);
+    let (from_http, from_rpc) = (node.call().1, node.call().1);
+    assert_eq!((&from_http["method"], &from_http["params"]["a"]), (&json!("report-result"), &json!(1)));
+    let meta = &from_http["params"]["_meta"];
+    assert_eq!((&meta["key"], &meta["path"]), (&json!("k"), &json!("/report-result/12?a=b")));
+    assert!((1..=900).contains(&meta["timeoutMs"].as_u64().expect("a time")));
+    let params = &from_rpc["params"];
+    assert_eq!(
+        (&params["key"], &params["_meta"]["key"], &params["a"]),
+        (&json!("k2"), &json!("k2"), &json!(1))
+    );
+}
+
+#[test]
+fn a_key_runs_once_by_whichever_protocol() {
+    let release = Arc::new(Release::default());
+    let node = RpcNode::new(
+        Frames::Lines,
+        [Reply::Held(Arc::clone(&release), json!("done")), Reply::Result(json!("again"))],
+    );
+    let proxy = Both::start(&Site { window_ms: 1_500, ..Site::rpc(&[node.address]) });
+    let post = |key: &str| {
+        let head = format!("POST /report-result/1 HTTP/1.1\r\nHost: h\r\nIdempotency-Key: {key}\r\nContent-Length: 0\r\n\r\n");
+        proxy.process.ask(&head)
+    };
+    let mut caller = proxy.rpc();
+    caller.send(&request(1, "report-result", json!({ "key": "k" })));
+    node.call();
+    // Open: told so, the same on both.
+    let told = post("k");
+    assert_eq!((told.status(), told.header("X-Refusal-Cause")), (409, Some("key-open")));
+    let told = proxy.rpc().call(2, "report-result", json!({ "key": "k" }));
+    assert_eq!((code(&told), &told["error"]["data"]["cause"]), (-32003, &json!("key-open")));
+    assert_eq!(told["error"]["data"]["retryAfterMs"], 1000);
+    release.release();
+    assert_eq!(caller.hear()["result"], "done");
+    let served = Instant::now();
+    // Served: the same answer, and nothing is sent.
+    assert_eq!(post("k").body, b"\"done\"");
+    assert_eq!(proxy.rpc().call(3, "report-result", json!({ "key": "k" }))["result"], "done");
+    assert!(node.calls().is_empty());
+    // Another key is another, and after the window so is this one.
+    assert_eq!(post("l").body, b"\"again\"");
+    thread::sleep(Duration::from_millis(1_600).saturating_sub(served.elapsed()));
+    assert_eq!(post("k").body, b"\"again\"");
+    assert_eq!(node.calls().len(), 2);
+    // Both at once: one runs, the other is told.
+    for round in 0..50 {
+        let key = format!("r{round}");
+        let (mut http, mut rpc) = (proxy.process.caller(), proxy.rpc());
+        let body = format!("POST /report-result/1 HTTP/1.1\r\nHost: h\r\nIdempotency-Key: {key}\r\nContent-Length: 0\r\n\r\n");
+        http.send(&body);
+        rpc.send(&request(round, "report-result", json!({ "key": key })));
+        let (by_http, by_rpc) = (http.hear().status(), rpc.hear());
+        assert!(by_http == 200 || by_http == 409, "{by_http}");
+        assert!(by_rpc["result"] == "again" || code(&by_rpc) == -32003, "{by_rpc}");
+        assert_eq!(node.calls().len(), 1, "round {round}");
+    }
+}
+
+#[test]
+fn at_the_bound_of_keys_new_ones_are_refused_and_none_runs_twice() {
+    let node = RpcNode::new(Frames::Lines, [Reply::Result(json!("z".repeat(100)))]);
+    let site =
+        Site { server: "keys = { entries = 3, bytes = 250 }\n".to_owned(), ..Site::rpc(&[node.address]) };
+    let proxy = Both::start(&site);
+    let mut caller = proxy.rpc();
+    let mut call = |key: &str| caller.call(1, "report-result", json!({ "key": key }));
+    for key in ["a", "b", "c"] {
+        assert!(call(key)["result"].is_string(), "{key}");
+    }
+    let full = call("d");
+    assert_eq!((code(&full), &full["error"]["data"]["cause"]), (-32000, &json!("keys")));
+    assert!(full["error"]["data"]["retryAfterMs"].as_u64() > Some(1_000));
+    let done = call("a");
+    assert_eq!((code(&done), &done["error"]["data"]["cause"]), (-32003, &json!("key-done")));
+    assert_eq!(node.calls().len(), 3);
+}
+
+// ---- Configuration ----
+
+#[test]
+fn faults_of_the_configuration_are_told() {
+    let site = Site::rpc(&["127.0.0.1:9".parse().expect("an address")]);
+    let good = site.config();
+    for (from, to, told) in [
+        ("protocol = \"json-rpc\"", "protocol = \"grpc\"", "`protocol`: \"grpc\" is none"),
+        ("framing = \"line\"", "framing = \"lines\"", "`framing`: \"lines\" is none"),
+        ("framing = \"line\"", "calls = 0", "`calls`: 0 is not from 1 to 1024"),
+        (
+            "[[class]]",
+            "[[method]]\nname = \"a\"\nclass = \"standing\"\n[[class]]",
+            "there is no class `standing`",
+        ),
+        (
+            "[[class]]",
+            "[[method]]\nname = \"a\"\nclass = \"standings\"\npath = \"x\"\n[[class]]",
+            "`path`: \"x\" is no path",
+        ),
+        ("[[class]]", "[members]\nkey = \"a.b.c\"\n[[class]]", "`key`: \"a.b.c\" is no member"),
+    ] {
+        let (mut child, _) = try_serve(&good.replacen(from, to, 1), &[]);
+        let mut words = String::new();
+        child.stderr.take().expect("piped").read_to_string(&mut words).expect("text");
+        assert_eq!(child.wait().expect("ends").code(), Some(2), "{told}");
+        assert!(words.contains(told), "{words}");
+    }
+}
+
+#[test]
+fn methods_and_members_are_as_configured() {
+    let http = Backend::new([ok("{}")]);
+    let more = "[[method]]\nname = \"rank\"\nclass = \"standings\"\npath = \"/standings/{where.event}\"\nverb = \"POST\"\n[members]\ntimeout_ms = \"wait\"\nkey = \"_meta.dedup\"\n";
+    let proxy = Both::start(&Site { more: more.to_owned(), aim_ms: 300, ..Site::http(&[http.address]) });
+    let mut caller = proxy.rpc();
+    caller.call(1, "rank", json!({ "where": { "event": 12 }, "wait": 700 }));
+    let heard = http.request().1;
+    assert_eq!(heard.line, "POST /standings/12 HTTP/1.1");
+    assert!(heard.header("X-Timeout-Ms").and_then(|ms| ms.parse::<u64>().ok()) <= Some(700));
+    caller.call(2, "report-result", json!({ "_meta": { "dedup": "k" } }));
+    assert_eq!(http.request().1.header("Idempotency-Key"), Some("k"));
+    assert_eq!(code(&caller.call(3, "standings", json!({}))), -32601, "`rank` stands for its class");
+    for bad in [json!({ "wait": -1 }), json!({ "wait": "soon" }), json!({ "wait": 0 }), json!({ "wait": {} })]
+    {
+        assert_eq!(code(&caller.call(4, "rank", bad.clone())), -32602, "{bad}");
+    }
+    caller.send(r#"{"jsonrpc":"2.0","id":5,"method":"rank","params":{"wait":5,"wait":6}}"#);
+    assert_eq!(code(&caller.hear()), -32602);
+    assert_eq!(http.requests().len(), 0);
+    // The wire is the proxy's: nothing of a call reaches a head.
+    let odd = caller.call(6, "rank", json!({ "where": { "event": "a\r\nX: y/../?#" } }));
+    assert_eq!(code(&odd), -32602, "as over HTTP, a path is not to hide a step or a line");
+    assert_eq!(http.requests().len(), 0);
+    caller.call(7, "rank", json!({ "where": { "event": "a b?#" } }));
+    assert_eq!(http.request().1.line, "POST /standings/a%20b%3F%23 HTTP/1.1");
+    let _ = TcpStream::connect(proxy.rpc).expect("it still listens");
+}
