--- a/crates/proxy/src/backend/link.rs
+++ b/crates/proxy/src/backend/link.rs
@@ -328,3 +328,138 @@
 pub fn is_over(link: &RpcLink, kept: Duration) -> bool {
     !link.is_usable() || link.idle_since().is_some_and(|since| since.elapsed() >= kept)
 }
+
+#[cfg(test)]
+mod tests {
+    use socket2::SockRef;
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+    use tokio::net::{TcpListener, TcpStream};
+    use tokio::task::LocalSet;
+
+    use super::*;
+
+    fn speech(framing: Framing) -> Speech {
+        Speech { framing, calls: 100, cancel: Some("$/cancel".to_owned()) }
+    }
+
+    /// A link whose writes stop after some kilobytes that the other side does not read, and the other side.
+    async fn narrow(framing: Framing) -> (Rc<RpcLink>, TcpStream) {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        SockRef::from(&listener).set_recv_buffer_size(4 << 10).expect("set");
+        let stream = TcpStream::connect(listener.local_addr().expect("bound")).await.expect("listens");
+        SockRef::from(&stream).set_send_buffer_size(4 << 10).expect("set");
+        let (other, _) = listener.accept().await.expect("connects");
+        (Rc::new(RpcLink::new(Socket::new(stream, None), speech(framing))), other)
+    }
+
+    fn local(test: impl std::future::Future<Output = ()>) {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+        LocalSet::new().block_on(&runtime, test);
+    }
+
+    fn call(link: &Rc<RpcLink>, bytes: usize) -> (Sent, Rc<Cell<usize>>) {
+        let progress = Rc::new(Cell::new(0));
+        let pad = RawValue::from_string(format!("[\"{}\"]", "x".repeat(bytes))).expect("JSON");
+        let sent = link.send(Rc::clone(&progress), |id| jsonrpc::request(Some(id), "m", Some(&pad)));
+        (sent, progress)
+    }
+
+    async fn until(condition: impl Fn() -> bool) {
+        let until = Instant::now() + Duration::from_secs(30);
+        while !condition() {
+            assert!(Instant::now() < until, "it does not come to pass");
+            tokio::time::sleep(Duration::from_millis(2)).await;
+        }
+    }
+
+    #[test]
+    fn each_call_on_a_broken_connection_ends_by_what_was_written_of_it() {
+        for framing in [Framing::Line, Framing::Length] {
+            local(async move {
+                let (link, mut other) = narrow(framing).await;
+                let (written, all) = call(&link, 10);
+                until(|| all.get() > 60).await;
+                let mut read = vec![0; all.get()];
+                other.read_exact(&mut read).await.expect("a call");
+                let (partly, some) = call(&link, 400_000);
+                until(|| some.get() > 0).await;
+                let (unsent, none) = call(&link, 10);
+                tokio::time::sleep(Duration::from_millis(50)).await;
+                assert!(some.get() < 400_000 && none.get() == 0);
+                drop(other);
+                assert!(matches!(written.end().await, End::Broken), "it may have run");
+                assert!(matches!(partly.end().await, End::Never), "half of it is no call");
+                assert!(matches!(unsent.end().await, End::Never));
+                assert!(!link.is_usable());
+                // One that comes too late for it as well.
+                assert!(matches!(call(&link, 10).0.end().await, End::Never));
+            });
+        }
+    }
+
+    #[test]
+    fn an_answer_to_what_cannot_have_been_read_ends_the_connection() {
+        local(async {
+            let (link, mut other) = narrow(Framing::Line).await;
+            let (partly, some) = call(&link, 400_000);
+            until(|| some.get() > 60).await;
+            let mut head = [0; 60];
+            other.read_exact(&mut head).await.expect("its beginning");
+            let head = String::from_utf8_lossy(&head).into_owned();
+            let id = head
+                .split("\"id\":")
+                .nth(1)
+                .and_then(|rest| rest.split(',').next())
+                .expect("an id")
+                .to_owned();
+            let (behind, _) = call(&link, 10);
+            let early = format!("{{\"jsonrpc\":\"2.0\",\"id\":{id},\"result\":1}}\n");
+            other.write_all(early.as_bytes()).await.expect("written");
+            assert!(matches!(partly.end().await, End::Broken), "whoever answers may have run something");
+            assert!(matches!(behind.end().await, End::Never));
+        });
+    }
+
+    #[test]
+    fn a_call_given_up_is_withdrawn_or_called_off() {
+        local(async {
+            let (link, mut other) = narrow(Framing::Line).await;
+            let (first, some) = call(&link, 100_000);
+            until(|| some.get() > 0).await;
+            let (second, none) = call(&link, 10);
+            let (third, _) = call(&link, 20);
+            // Not a byte of the second has gone; of the first some have, and the rest must follow.
+            drop(second);
+            drop(first);
+            assert_eq!(none.get(), 0);
+            let mut text = String::new();
+            let mut buffer = vec![0; 4096];
+            while text.lines().count() < 3 || !text.ends_with('\n') {
+                let n = other.read(&mut buffer).await.expect("more");
+                text.push_str(std::str::from_utf8(&buffer[..n]).expect("text"));
+            }
+            let lines: Vec<&str> = text.lines().collect();
+            assert!(
+                lines[0].len() > 100_000 && lines[1].contains("xxxx") && lines[2].contains("$/cancel"),
+                "{}",
+                lines.len()
+            );
+            assert_eq!(lines[1].matches('x').count(), 20, "the third, not the second");
+            let id = lines[0].split("\"id\":").nth(1).and_then(|r| r.split(',').next()).expect("an id");
+            assert!(lines[2].contains(id), "{}", lines[2]);
+            drop(third);
+        });
+    }
+
+    #[test]
+    fn ids_are_each_another_and_not_in_a_row() {
+        local(async {
+            let (link, _other) = narrow(Framing::Line).await;
+            let ids: std::collections::BTreeSet<u64> =
+                (0..1_000).map(|_| u64::from_str_radix(&link.shared.new_id(), 16).expect("hex")).collect();
+            assert_eq!(ids.len(), 1_000);
+            let ids: Vec<u64> = ids.into_iter().collect();
+            assert!(ids.windows(2).all(|pair| pair[1] - pair[0] > 1_000), "the next is to be guessed");
+        });
+    }
+}
--- a/crates/testkit/src/backend.rs
+++ b/crates/testkit/src/backend.rs
@@ -71,26 +71,32 @@
 impl Backend {
     /// Does these in turn, and the last one from there on.
     pub fn new(deeds: impl IntoIterator<Item = Deed>) -> Backend {
+        let deeds = Mutex::new(deeds.into_iter().collect::<VecDeque<_>>());
+        Backend::of(move |_| {
+            let mut deeds = deeds.lock().expect("unpoisoned");
+            if deeds.len() > 1 { deeds.pop_front() } else { deeds.front().cloned() }.expect("a deed")
+        })
+    }
+
+    /// Does what this says of each request.
+    pub fn of(deed: impl Fn(&Heard) -> Deed + Send + Sync + 'static) -> Backend {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
         let address = listener.local_addr().expect("bound");
-        let deeds = Arc::new(Mutex::new(deeds.into_iter().collect::<VecDeque<_>>()));
+        let deed = Arc::new(deed);
         let (sender, seen) = mpsc::channel();
         thread::spawn(move || {
             for (number, stream) in listener.incoming().enumerate() {
-                let (sender, deeds) = (sender.clone(), Arc::clone(&deeds));
-                thread::spawn(move || Backend::serve(number, stream.expect("accepts"), &sender, &deeds));
+                let (sender, deed) = (sender.clone(), Arc::clone(&deed));
+                thread::spawn(move || Backend::serve(number, stream.expect("accepts"), &sender, &*deed));
             }
         });
         Backend { address, seen }
     }
 
-    fn serve(number: usize, mut stream: TcpStream, seen: &Sender<Seen>, deeds: &Mutex<VecDeque<Deed>>) {
+    fn serve(number: usize, mut stream: TcpStream, seen: &Sender<Seen>, deed: &dyn Fn(&Heard) -> Deed) {
         let mut reader = BufReader::new(stream.try_clone().expect("a copy"));
         while let Some(request) = hear(&mut reader) {
-            let deed = {
-                let mut deeds = deeds.lock().expect("unpoisoned");
-                if deeds.len() > 1 { deeds.pop_front() } else { deeds.front().cloned() }.expect("a deed")
-            };
+            let deed = deed(&request);
             let _ = seen.send(Seen::Request(number, request));
             match deed {
                 Deed::Answer(text) => stream.write_all(text.as_bytes()).expect("written"),
--- a/crates/testkit/src/rpc.rs
+++ b/crates/testkit/src/rpc.rs
@@ -65,7 +65,10 @@
 impl RpcCaller {
     #[track_caller]
     pub fn connect(address: SocketAddr, frames: Frames) -> RpcCaller {
-        let stream = TcpStream::connect(address).expect("the proxy listens");
+        RpcCaller::of(TcpStream::connect(address).expect("the proxy listens"), frames)
+    }
+
+    pub fn of(stream: TcpStream, frames: Frames) -> RpcCaller {
         stream.set_nodelay(true).expect("set");
         stream.set_read_timeout(Some(PATIENCE)).expect("set");
         RpcCaller { stream: BufReader::new(stream), frames }
