--- a/crates/proxy/src/server/rpc.rs
+++ b/crates/proxy/src/server/rpc.rs
@@ -66,6 +66,7 @@
         taken: 0,
         out: VecDeque::new(),
         broken: false,
+        unwanted: false,
     };
     tokio::select! {
         () = connection.run(socket, most) => {}
@@ -90,12 +91,14 @@
     out: VecDeque<(Bytes, usize)>,
     /// Nobody knows where the next message begins.
     broken: bool,
+    /// Its tenant has as many connections as it may.
+    unwanted: bool,
 }
 
 impl Connection {
     async fn run(&mut self, socket: Socket, most: usize) {
         let (mut reader, mut writer) = (socket.clone(), socket.clone());
-        let mut closing = false;
+        let mut told = false;
         let mut moved = Instant::now();
         let mut paused = false;
         loop {
@@ -107,6 +110,7 @@
                 }
             }
             self.caller.busy.set(self.open > 0 || !self.out.is_empty());
+            let closing = told || self.unwanted;
             let reading = self.open < most && !self.broken && (!closing || socket.unread() == Unread::Data);
             if (closing || self.broken) && !reading && !self.caller.busy.get() {
                 break;
@@ -118,7 +122,7 @@
             paused = !reading;
             tokio::select! {
                 biased;
-                () = self.caller.close.notified(), if !closing => closing = true,
+                () = self.caller.close.notified(), if !told => told = true,
                 Some(done) = self.running.join_next() => {
                     if let Ok(done) = done {
                         self.done(done);
@@ -244,8 +248,10 @@
             }
             entered.open = Some(same);
         }
-        entered.taken =
-            self.way(&call, frame).map_err(|turned| Some(turned_away(entered.id.as_deref(), turned)));
+        entered.taken = self.way(&call, frame).map_err(|turned| {
+            self.unwanted |= turned.cause == Some(limit::Cause::Connections.name());
+            Some(turned_away(entered.id.as_deref(), turned))
+        });
         entered
     }
 
--- a/src/bin/amberlever/cli.rs
+++ b/src/bin/amberlever/cli.rs
@@ -42,6 +42,9 @@
         /// The administration API's address.
         #[arg(long, value_name = "ADDR", default_value = "127.0.0.1:8081")]
         admin: SocketAddr,
+        /// Where JSON-RPC is spoken, one message a line.
+        #[arg(long, value_name = "ADDR", default_value = "127.0.0.1:8082")]
+        jsonrpc: SocketAddr,
     },
     /// Tenants of a hosted service, by its administration API.
     Tenant {
--- a/src/bin/amberlever/demo.rs
+++ b/src/bin/amberlever/demo.rs
@@ -16,22 +16,29 @@
 const TENANTS: [(&str, &[&str]); 2] =
     [("club", &["club.example"]), ("kpks", &["localhost", "127.0.0.1", "kpks.example", "*.kpks.example"])];
 
-pub fn run(listen: SocketAddr, admin: SocketAddr) -> Result<(), String> {
+pub fn run(listen: SocketAddr, admin: SocketAddr, jsonrpc: SocketAddr) -> Result<(), String> {
     let state = std::env::temp_dir().join(format!("amberlever-demo-{}", std::process::id()));
-    let result = serve(listen, admin, &state);
+    let result = serve(listen, admin, jsonrpc, &state);
     let _ = std::fs::remove_dir_all(&state);
     say(format_args!("the demo has ended"));
     result
 }
 
-fn serve(listen: SocketAddr, admin: SocketAddr, state: &Path) -> Result<(), String> {
-    let (setup, document, nodes) = example(listen, admin, state)?;
+fn serve(listen: SocketAddr, admin: SocketAddr, jsonrpc: SocketAddr, state: &Path) -> Result<(), String> {
+    let (setup, document, nodes) = example(listen, admin, jsonrpc, state)?;
     crate::hosted::run(&setup, document, |callers, admin| {
-        let address = callers[0];
+        let (address, jsonrpc) = (callers[0], callers[1]);
         println!("Stand-in nodes:\n{}", nodes.join("\n"));
         println!("\nThe proxy serves deploy/example.toml on {address}, for the tenants kpks and club. In another shell:\n");
         println!("    curl -i http://{address}/standings/1");
         println!("    curl -i -H 'Idempotency-Key: k1' -d '1-0' http://{address}/report-result/12\n");
+        println!("JSON-RPC is spoken on {jsonrpc}, one message a line; the same key by either protocol runs once:\n");
+        let (host, port) = (jsonrpc.ip(), jsonrpc.port());
+        for (id, method, key) in [(1, "standings", "1"), (2, "report-result", "k1")] {
+            let call = json!({ "jsonrpc": "2.0", "id": id, "method": method, "params": { "key": key } });
+            println!("    echo '{call}' | nc -w 1 {host} {port}");
+        }
+        println!();
         println!("The administration API is on {admin}. A change of a limit, and what it does:\n");
         println!("    target/release/amberlever tenant --api {admin} limits club requests_per_s=1 burst=1");
         println!("    for i in 1 2 3; do curl -si -H 'Host: club.example' http://{address}/standings/1 | head -2; done");
@@ -44,13 +51,14 @@
 fn example(
     listen: SocketAddr,
     admin: SocketAddr,
+    jsonrpc: SocketAddr,
     state: &Path,
 ) -> Result<(Setup, Document, Vec<String>), String> {
     let mut config = toml_value(CONFIG)?;
     let server = config.as_object_mut().and_then(|c| c.remove("server")).unwrap_or_default();
     config["expect"] = toml_value(EXPECTATIONS)?["expect"].take();
     let file = format!(
-        "[server]\nlisten = [{{ address = \"{listen}\", zone = \"south\", zone_header = \"x-caller-zone\" }}]\nzone = {}\nsockets = 1024\n\n[admin]\nlisten = \"{admin}\"\nstate = {:?}\n",
+        "[server]\nlisten = [{{ address = \"{listen}\", zone = \"south\", zone_header = \"x-caller-zone\" }}, {{ address = \"{jsonrpc}\", zone = \"south\", protocol = \"json-rpc\", host = \"localhost\" }}]\nzone = {}\nsockets = 1024\n\n[admin]\nlisten = \"{admin}\"\nstate = {:?}\n",
         server["zone"], state.display().to_string()
     );
     let embedded = |_: &Path| Ok(file.clone());
--- a/src/bin/amberlever/main.rs
+++ b/src/bin/amberlever/main.rs
@@ -27,7 +27,7 @@
     match Cli::parse().command {
         Command::Serve { config } => serve(&config),
         Command::Check { config, format } => check::run(&config, format),
-        Command::Demo { listen, admin } => ended(demo::run(listen, admin)),
+        Command::Demo { listen, admin, jsonrpc } => ended(demo::run(listen, admin, jsonrpc)),
         Command::Tenant { api, command } => remote::tenant(&api, &command),
         Command::Config { api, command } => remote::config(&api, &command),
         Command::Token { api, command } => remote::token(&api, &command),
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -125,10 +125,21 @@
     assert_eq!((out(&output), output.status.code()), (block("text contradiction"), Some(1)));
 }
 
+#[test]
+fn the_example_of_the_page_on_json_rpc_is_good() {
+    let page = include_str!("../docs/operators/jsonrpc.md");
+    let example = page.split("```toml lb.toml\n").nth(1).and_then(|rest| rest.split("```").next());
+    let folder = folder();
+    std::fs::write(folder.join("lb.toml"), example.expect("an example")).expect("written");
+    let mut command = Command::new(env!("CARGO_BIN_EXE_amberlever"));
+    let output = command.current_dir(&folder).args(["check", "lb.toml"]).output().expect("it runs");
+    assert!(output.status.success(), "{}", String::from_utf8_lossy(&output.stdout));
+}
+
 #[test]
 fn the_demo_serves_the_lines_that_it_prints() {
     let mut child = Command::new(env!("CARGO_BIN_EXE_amberlever"))
-        .args(["demo", "--listen", "127.0.0.1:0", "--admin", "127.0.0.1:0"])
+        .args(["demo", "--listen", "127.0.0.1:0", "--admin", "127.0.0.1:0", "--jsonrpc", "127.0.0.1:0"])
         .stdout(Stdio::piped())
         .stderr(Stdio::null())
         .spawn()
@@ -150,6 +161,18 @@
         "POST /report-result/12 HTTP/1.1\r\nHost: {address}\r\nIdempotency-Key: k1\r\nContent-Length: 3\r\n\r\n1-0"
     );
     assert_eq!(ask(&report).status(), 200);
+    // The lines for nc: a message, and where to.
+    let calls: Vec<String> = lines.by_ref().filter(|l| l.contains("| nc ")).take(2).collect();
+    let heard = calls.iter().map(|line| {
+        let message = line.split('\'').nth(1).expect("quoted");
+        let words: Vec<&str> = line.split(' ').collect();
+        let address = format!("{}:{}", words[words.len() - 2], words[words.len() - 1]);
+        RpcCaller::connect(address.parse().expect("an address"), Frames::Lines).ask(message)
+    });
+    let heard: Vec<serde_json::Value> = heard.collect();
+    assert!(heard[0]["result"].as_str().is_some_and(|r| r.contains("GET /standings/1")), "{heard:?}");
+    // The key has run, by HTTP: the answer is that one's.
+    assert!(heard[1]["result"].as_str().is_some_and(|r| r.contains("POST /report-result/12")), "{heard:?}");
     let kill = format!("kill -INT {}", child.id());
     assert!(Command::new("sh").args(["-c", &kill]).status().expect("a shell").success());
     assert!(child.wait().expect("it ends").success());
--- a/tests/hosted.rs
+++ b/tests/hosted.rs
@@ -102,6 +102,79 @@
     held.over();
 }
 
+/// Calls belong to the listener's tenant, or to the one that has its host, and have the same limits and keys.
+#[test]
+fn calls_by_json_rpc_are_a_tenants_like_any_request() {
+    let (one, two) = (node("one", 0), node("two", 0));
+    let file = hosted_file("", "").replace(
+        "listen = [{ address = \"127.0.0.1:0\" }]",
+        "listen = [{ address = \"127.0.0.1:0\" }, { address = \"127.0.0.1:0\", protocol = \"json-rpc\", tenant = \"one\" }, { address = \"127.0.0.1:0\", protocol = \"json-rpc\", host = \"two.example\" }]",
+    );
+    let service = host_service(&file);
+    let with = |host: &str, node: &SteadyNode, limits| {
+        let mut doc = tenant(host, &[node.address], limits);
+        doc["config"]["class"][0]["semantics"] = json!("deduplicated");
+        doc["config"]["class"][0]["dedup_group"] = json!("all");
+        doc["config"]["class"][0]["dedup_window_ms"] = json!(60_000);
+        doc
+    };
+    let limits = json!({ "requests_per_s": 0.001, "burst": 3 });
+    assert_eq!(service.put("/v1/tenants/one", &with("one.example", &one, limits)).status, 200);
+    assert_eq!(service.put("/v1/tenants/two", &with("two.example", &two, json!({}))).status, 200);
+    let log = service.process.log();
+    let listeners: Vec<std::net::SocketAddr> = log
+        .lines()
+        .filter_map(|l| l.strip_prefix("listening on "))
+        .map(|a| a.parse().expect("an address"))
+        .collect();
+    let mut callers: Vec<RpcCaller> =
+        listeners.iter().map(|a| RpcCaller::connect(*a, Frames::Lines)).collect();
+    let served =
+        |answer: &serde_json::Value| answer["result"].as_str().map(|r| r.split(':').next() == Some("one"));
+    let key = json!({ "key": "k" });
+    assert_eq!(served(&callers[0].call(1, "standings", key.clone())), Some(true));
+    assert_eq!(
+        served(&callers[1].call(1, "standings", key.clone())),
+        Some(false),
+        "another's key is another"
+    );
+    // By HTTP it is the same key, of the same tenant.
+    let post = |host: &str| {
+        let head =
+            format!("POST /x HTTP/1.1\r\nHost: {host}\r\nIdempotency-Key: k\r\nContent-Length: 0\r\n\r\n");
+        service.process.ask(&head)
+    };
+    assert!(
+        post("one.example").body.starts_with(b"\"one: ") || post("one.example").body.starts_with(b"one: ")
+    );
+    assert_eq!((one.served(), two.served()), (1, 1));
+    // A claim to be another's is refused, never believed; the limits are the same.
+    let claim = json!({ "key": "l", "_meta": { "tenant": "two" } });
+    assert_eq!(callers[0].call(2, "standings", claim)["error"]["code"], -32602);
+    let mut last = callers[0].call(3, "standings", json!({ "key": "l" }));
+    for id in 4..8 {
+        last = callers[0].call(id, "standings", json!({ "key": format!("m{id}") }));
+    }
+    assert_eq!((&last["error"]["code"], &last["error"]["data"]["cause"]), (&json!(-32000), &json!("rate")));
+    assert!(last["error"]["data"]["retryAfterMs"].as_u64() > Some(0), "{last}");
+    assert_eq!(
+        service.get("/v1/tenants/one/status").body["refused"]["rate"].as_u64().map(|n| n > 0),
+        Some(true)
+    );
+    assert_eq!(served(&callers[1].call(9, "standings", json!({ "key": "n" }))), Some(false));
+    // One connection too many: refused, told, and closed.
+    service.put("/v1/tenants/two/limits", &json!({ "connections": 1 }));
+    let mut extra = RpcCaller::connect(listeners[1], Frames::Lines);
+    let refused = extra.call(1, "standings", json!({ "key": "o" }));
+    assert_eq!(
+        (&refused["error"]["code"], &refused["error"]["data"]["cause"]),
+        (&json!(-32000), &json!("connections"))
+    );
+    assert_eq!(extra.hear()["method"], "$/closing");
+    assert!(extra.try_hear().is_none());
+    assert_eq!(served(&callers[1].call(10, "standings", json!({ "key": "o" }))), Some(false));
+}
+
 // ---- What each may use ----
 
 #[test]
