--- a/src/bin/amberlever/cli.rs
+++ b/src/bin/amberlever/cli.rs
@@ -60,6 +60,14 @@
         #[command(subcommand)]
         command: ConfigCommand,
     },
+    /// Files of what was learned.
+    State {
+        #[command(subcommand)]
+        command: StateCommand,
+        /// How the result is written.
+        #[arg(long, value_enum, default_value_t = Format::Text, global = true)]
+        format: Format,
+    },
     /// Tokens for the administration API.
     Token {
         #[command(flatten)]
@@ -124,6 +132,14 @@
     },
 }
 
+#[derive(Subcommand)]
+pub enum StateCommand {
+    /// What a file holds.
+    Show { file: PathBuf },
+    /// The figures that differ between two.
+    Diff { before: PathBuf, after: PathBuf },
+}
+
 #[derive(Subcommand)]
 pub enum TokenCommand {
     /// Make a token and its hash for the configuration file; asks no API.
--- a/src/bin/amberlever/main.rs
+++ b/src/bin/amberlever/main.rs
@@ -5,6 +5,7 @@
 mod demo;
 mod hosted;
 mod remote;
+mod state;
 
 use std::path::Path;
 use std::process::ExitCode;
@@ -30,6 +31,7 @@
         Command::Demo { listen, admin, jsonrpc } => ended(demo::run(listen, admin, jsonrpc)),
         Command::Tenant { api, command } => remote::tenant(&api, &command),
         Command::Config { api, command } => remote::config(&api, &command),
+        Command::State { command, format } => state::run(&command, format),
         Command::Token { api, command } => remote::token(&api, &command),
     }
 }
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -136,6 +136,48 @@
     assert!(output.status.success(), "{}", String::from_utf8_lossy(&output.stdout));
 }
 
+#[test]
+fn files_of_what_was_learned_are_shown_and_compared() {
+    let kept = concat!(env!("CARGO_MANIFEST_DIR"), "/crates/knowledge/tests/version-1.bin");
+    let run = |args: &[&str]| {
+        let output = amberlever(&[&["state"], args].concat());
+        let text = |bytes: &[u8]| String::from_utf8_lossy(bytes).into_owned();
+        (output.status.code(), text(&output.stdout), text(&output.stderr))
+    };
+    let (code, shown, _) = run(&["show", kept]);
+    assert_eq!(code, Some(0));
+    for row in [
+        "pairings                               cursor 0.125, t1_a_server 17.25, up_s 86400",
+        "pairings / class / standings           age_s 0.001, answer_ms 20, samples 4.5",
+        "pairings / node / pairing-1            cold_calls 0.25, fails 2, left_alone_s 1.5",
+        "pairings / node / pairing-1 / standings  age_s 0.25, samples 5, times_the_pools 2.5",
+    ] {
+        let words = |text: &str| text.split_whitespace().map(str::to_owned).collect::<Vec<_>>();
+        assert!(shown.lines().any(|line| words(line) == words(row)), "{row}\n{shown}");
+    }
+    // A damaged section is passed over and told of.
+    let folder = folder();
+    let mut bytes = std::fs::read(kept).expect("a file");
+    *bytes.last_mut().expect("some") ^= 1;
+    let damaged = folder.join("damaged.bin");
+    std::fs::write(&damaged, &bytes).expect("written");
+    let damaged = damaged.to_str().expect("text");
+    assert!(run(&["show", damaged]).1.ends_with("1 damaged and 0 unknown sections were passed over\n"));
+    let (_, differs, _) = run(&["diff", kept, damaged]);
+    assert!(differs.contains("pairings / node / pairing-1: fails 2 -> none\n"), "{differs}");
+    assert_eq!(run(&["diff", kept, kept]).1, "");
+    let json: serde_json::Value =
+        serde_json::from_str(&run(&["show", damaged, "--format", "json"]).1).expect("JSON");
+    assert_eq!(
+        (&json["faults"]["damaged"], &json["figures"]["pairings"]["cursor"]),
+        (&1.into(), &0.125.into())
+    );
+    // What is none is told in a line.
+    let (code, _, fault) = run(&["show", concat!(env!("CARGO_MANIFEST_DIR"), "/Cargo.toml")]);
+    assert_eq!((code, fault.lines().count()), (Some(2), 1));
+    assert!(fault.contains("not a file of what was learned"), "{fault}");
+}
+
 #[test]
 fn the_demo_serves_the_lines_that_it_prints() {
     let mut child = Command::new(env!("CARGO_BIN_EXE_amberlever"))
