One piece of code where two did the same: files, sockets, stand-ins

Read again as a whole, the change had written some things twice. The store of versions now replaces its files by keep's way, both JSON-RPC ends read a socket by one function of it, the scripted stand-ins of both protocols are one type, and the API looks up a part of a configuration in one place.

--- a/benches/protocols.rs
+++ b/benches/protocols.rs
@@ -57,7 +57,7 @@
 
     fn forget(&self) {
         self.http.iter().for_each(|n| drop(n.requests()));
-        self.rpc.iter().for_each(|n| drop(n.calls()));
+        self.rpc.iter().for_each(|n| drop(n.requests()));
     }
 }
 
--- a/crates/admin/src/api.rs
+++ b/crates/admin/src/api.rs
@@ -399,13 +399,14 @@
     who.reads(Some(&tenant))?;
     let mut document = service.document().await;
     let doc = tenant_mut(&mut document, &tenant)?;
-    let part = edit::part(&part).ok_or_else(|| no_part(&part))?;
+    let part = named_part(&part)?;
     let entry = edit::entry(&doc.config, part, &name).ok_or_else(|| no_entry(part, &name))?;
     Ok(([(header::ETAG, tag(doc))], Json(entry.clone())).into_response())
 }
 
-fn no_part(part: &str) -> Rejected {
-    Rejected::NotFound(format!("there are classes, pools and routes, and no {part}"))
+fn named_part(part: &str) -> Result<&'static str, Rejected> {
+    let none = || Rejected::NotFound(format!("there are classes, pools and routes, and no {part}"));
+    edit::part(part).ok_or_else(none)
 }
 
 fn no_entry(part: &str, name: &str) -> Rejected {
@@ -426,7 +427,7 @@
     let Path((tenant, part, name)) = path?;
     who.writes(Some(&tenant))?;
     let ((manner, _), Json(entry)) = (manner(&headers, query)?, body?);
-    let part = edit::part(&part).ok_or_else(|| no_part(&part))?;
+    let part = named_part(&part)?;
     let done = service.change(&who, &manner, Some(&tenant), |document| {
         edit::put(&mut tenant_mut(document, &tenant)?.config, part, &name, entry).map_err(Rejected::Malformed)
     });
@@ -446,7 +447,7 @@
     let Path((tenant, part, name)) = path?;
     who.writes(Some(&tenant))?;
     let (manner, _) = manner(&headers, query)?;
-    let part = edit::part(&part).ok_or_else(|| no_part(&part))?;
+    let part = named_part(&part)?;
     let done = service.change(&who, &manner, Some(&tenant), |document| {
         let removed = edit::remove(&mut tenant_mut(document, &tenant)?.config, part, &name);
         removed.then_some(()).ok_or_else(|| no_entry(part, &name))
--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -13,7 +13,7 @@
 use crate::file::{self, File, Word};
 use crate::fleet::{Node, NodeState};
 use crate::hosted::{Role, Setup, Shared, Token};
-use crate::method::{host_of, Member, Members, Method, Methods, Protocol, Template, Verb};
+use crate::method::{Member, Members, Method, Methods, Protocol, Template, Verb};
 use crate::model::{sockets_suffice, Class, Config, Limits, Listener, Pool, Source};
 
 /// The longest time that makes sense anywhere, in milliseconds: a day.
@@ -328,7 +328,7 @@
 
     /// The host of calls that come in at a listener.
     fn host(&mut self, entry: &file::Listen, protocol: Protocol, address: SocketAddr) -> String {
-        let Some(word) = &entry.host else { return host_of(address) };
+        let Some(word) = &entry.host else { return address.ip().to_string() };
         if protocol == Protocol::Http {
             let help = "leave it out, or write protocol = \"json-rpc\"".to_owned();
             self.fault(word.span(), "`host`: HTTP callers name one themselves", Some(help));
--- a/crates/config/src/method.rs
+++ b/crates/config/src/method.rs
@@ -1,6 +1,5 @@
 //! JSON-RPC in the configuration: which method is which class, and how a call stands in HTTP.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 
 use jsonrpc::Framing;
@@ -189,12 +188,6 @@
     }
 }
 
-/// An address that needs a host to stand in for the one that HTTP callers name.
-#[must_use]
-pub fn host_of(address: SocketAddr) -> String {
-    address.ip().to_string().trim_matches(['[', ']']).to_owned()
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/crates/config/src/model.rs
+++ b/crates/config/src/model.rs
@@ -167,12 +167,6 @@
         sockets_cut(self.sockets).unwrap_or((LEAST_SOCKETS, LEAST_SOCKETS))
     }
 
-    /// Does any pool's nodes speak JSON-RPC?
-    #[must_use]
-    pub fn speaks_json_rpc(&self) -> bool {
-        self.pools.iter().any(|p| p.protocol != Protocol::Http)
-    }
-
     /// So many sockets, cut up by the pools' shares.
     #[must_use]
     pub fn pool_parts(&self, sockets: usize) -> Vec<usize> {
--- a/crates/keep/src/folder.rs
+++ b/crates/keep/src/folder.rs
@@ -32,10 +32,16 @@
 /// A folder.
 pub struct Folder {
     path: PathBuf,
-    _lock: File,
+    _lock: Option<File>,
 }
 
 impl Folder {
+    /// One that is there, and that something else holds for this process.
+    #[must_use]
+    pub fn held(path: &Path) -> Folder {
+        Folder { path: path.to_owned(), _lock: None }
+    }
+
     /// Makes the folder where it is missing, and takes it for this process.
     ///
     /// # Errors
@@ -46,7 +52,7 @@
         let lock = lock.map_err(Unopened::Io)?;
         // The system lets go of it when the process ends, however it does.
         match lock.try_lock() {
-            Ok(()) => Ok(Folder { path: path.to_owned(), _lock: lock }),
+            Ok(()) => Ok(Folder { path: path.to_owned(), _lock: Some(lock) }),
             Err(TryLockError::WouldBlock) => Err(Unopened::InUse),
             Err(TryLockError::Error(fault)) => Err(Unopened::Io(fault)),
         }
--- a/crates/keep/src/lib.rs
+++ b/crates/keep/src/lib.rs
@@ -50,6 +50,17 @@
     /// # Errors
     /// See [`Files::list`].
     fn remove(&self, name: &str) -> io::Result<()>;
+
+    /// Puts a whole file in place of the one of this name, if there is one, by way of a temporary name. It survives once
+    /// the folder is synced.
+    ///
+    /// # Errors
+    /// See [`Files::list`]; the file of this name is as it was.
+    fn replace(&self, temporary: &str, name: &str, bytes: &[u8]) -> io::Result<()> {
+        self.write(temporary, bytes)?;
+        self.sync(temporary)?;
+        self.rename(temporary, name)
+    }
 }
 
 /// The name that a file has until it is whole.
@@ -101,7 +112,7 @@
     /// It is not kept, or may not survive; what was kept before is as it was.
     pub fn put(&mut self, bytes: &[u8]) -> io::Result<()> {
         let next = self.numbers.last().map_or(1, |n| n.saturating_add(1));
-        let made = self.make(next, bytes);
+        let made = self.files.replace(TEMPORARY, &name(next), bytes);
         if made.is_err() {
             // A full disk gets back what half a file took.
             let _ = self.files.remove(TEMPORARY);
@@ -117,10 +128,4 @@
         }
         Ok(())
     }
-
-    fn make(&self, number: u64, bytes: &[u8]) -> io::Result<()> {
-        self.files.write(TEMPORARY, bytes)?;
-        self.files.sync(TEMPORARY)?;
-        self.files.rename(TEMPORARY, &name(number))
-    }
 }
--- a/crates/proxy/src/backend/link.rs
+++ b/crates/proxy/src/backend/link.rs
@@ -14,7 +14,7 @@
 use bytes::Bytes;
 use jsonrpc::{code, Body, Bounds, Framer, Framing, Parsed, Response};
 use serde_json::value::RawValue;
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::io::AsyncWrite;
 use tokio::sync::{oneshot, Notify};
 use tokio::task::{spawn_local, AbortHandle};
 use tokio::time::Instant;
@@ -22,8 +22,6 @@
 use crate::exchange::MOST_BODY;
 use crate::socket::Socket;
 
-/// Read at a time; held only while it is read.
-const READ: usize = 16 << 10;
 /// A node that has said nothing at all for so long, while a call waited that was then given up, gets its next calls on
 /// another connection.
 const QUIET: Duration = Duration::from_secs(1);
@@ -298,7 +296,7 @@
                     break;
                 }
             }
-            read = read_some(&mut reader, &mut framer) => match read {
+            read = reader.read_some(|piece| framer.push(piece)) => match read {
                 Ok(0) | Err(_) => break,
                 Ok(_) => loop {
                     match framer.next() {
@@ -313,17 +311,6 @@
     }
 }
 
-async fn read_some(socket: &mut Socket, framer: &mut Framer) -> io::Result<usize> {
-    poll_fn(|cx| {
-        let mut piece = [0; READ];
-        let mut piece = ReadBuf::new(&mut piece);
-        ready!(Pin::new(&mut *socket).poll_read(cx, &mut piece))?;
-        framer.push(piece.filled());
-        Poll::Ready(Ok(piece.filled().len()))
-    })
-    .await
-}
-
 /// Is a connection that has been idle since then over the time that it is kept?
 pub fn is_over(link: &RpcLink, kept: Duration) -> bool {
     !link.is_usable() || link.idle_since().is_some_and(|since| since.elapsed() >= kept)
--- a/crates/proxy/src/routing.rs
+++ b/crates/proxy/src/routing.rs
@@ -102,8 +102,7 @@
     }
     let figures = &config.classes[class].figures;
     let (semantics, deadline) = (figures.semantics, figures.deadline);
-    let method = config.speaks_json_rpc().then(|| config.methods.of_class(class)).flatten();
-    let method = method.map(|m| Arc::clone(&m.name));
+    let method = snapshot.methods[class].clone();
     let once = match semantics {
         Semantics::Deduplicated { window, .. } => {
             let class = config.classes[class].name.as_str().into();
--- a/crates/proxy/src/server/rpc.rs
+++ b/crates/proxy/src/server/rpc.rs
@@ -5,7 +5,6 @@
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{ready, Poll};
 use std::time::Duration;
 
 use bytes::{Buf, Bytes};
@@ -14,7 +13,7 @@
 use jsonrpc::{code, Body, Bounds, Call, Framer, Framing, Parsed, Unframed};
 use serde_json::json;
 use serde_json::value::RawValue;
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::io::AsyncWrite;
 use tokio::task::JoinSet;
 use tokio::time::{sleep_until, timeout, Instant};
 
@@ -26,8 +25,6 @@
 use crate::request::{self, Taken};
 use crate::socket::{Socket, Unread};
 
-/// Read at a time. Held only while it is read, so that a silent connection costs none.
-const READ: usize = 16 << 10;
 /// A caller that takes nothing of its answers for so long has gone.
 const UNREAD: Duration = Duration::from_secs(10);
 /// After the last answer a caller has so long to close as well; closing before would break off what is on its way.
@@ -137,7 +134,7 @@
                     Err(_) => return,
                 },
                 () = sleep_until(moved + UNREAD), if !self.out.is_empty() => return,
-                read = read_some(&mut reader, &mut self.framer), if reading => match read {
+                read = reader.read_some(|piece| self.framer.push(piece)), if reading => match read {
                     // As over HTTP, a caller that ends its side has left.
                     Ok(0) | Err(_) => return,
                     Ok(_) => {}
@@ -160,10 +157,7 @@
                 self.written(n);
             }
             let _ = poll_fn(|cx| Pin::new(&mut *writer).poll_shutdown(cx)).await;
-            let mut unread = Framer::new(self.framing, Bounds::default());
-            while let Ok(1..) = read_some(reader, &mut unread).await {
-                unread = Framer::new(self.framing, Bounds::default());
-            }
+            while let Ok(1..) = reader.read_some(|_| {}).await {}
         };
         let _ = timeout(LINGER, leave).await;
     }
@@ -416,18 +410,6 @@
     jsonrpc::error(id, code, message, data.as_deref())
 }
 
-/// Reads what there is: so many bytes.
-async fn read_some(socket: &mut Socket, framer: &mut Framer) -> io::Result<usize> {
-    poll_fn(|cx| {
-        let mut piece = [0; READ];
-        let mut piece = ReadBuf::new(&mut piece);
-        ready!(Pin::new(&mut *socket).poll_read(cx, &mut piece))?;
-        framer.push(piece.filled());
-        Poll::Ready(Ok(piece.filled().len()))
-    })
-    .await
-}
-
 /// Writes as much as goes of what is to go out: so many bytes.
 async fn write_some(socket: &mut Socket, out: &VecDeque<(Bytes, usize)>) -> io::Result<usize> {
     poll_fn(|cx| {
--- a/crates/proxy/src/snapshot.rs
+++ b/crates/proxy/src/snapshot.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-use config::Config;
+use config::{Config, Protocol};
 use decide::interface::{Allowed, Semantics};
 use route::{Count, PoolId, Step};
 
@@ -18,6 +18,8 @@
     /// Counts from 1.
     pub number: u64,
     pub config: Arc<Config>,
+    /// What each class is called in JSON-RPC, where a pool speaks that.
+    pub methods: Vec<Option<Arc<str>>>,
     pools: Vec<Rc<Pool>>,
     /// What each route leaves of each pool, by the places of both; only where that is not all.
     allowed: Vec<Vec<Option<Arc<Allowed>>>>,
@@ -61,7 +63,10 @@
             pools.iter().map(of).collect()
         };
         let allowed = config.table.routes().iter().map(allowed).collect();
-        Snapshot { number, config, pools, allowed }
+        let speaks = config.pools.iter().any(|p| p.protocol != Protocol::Http);
+        let method = |class| config.methods.of_class(class).filter(|_| speaks).map(|m| Arc::clone(&m.name));
+        let methods = (0..config.classes.len()).map(method).collect();
+        Snapshot { number, config, methods, pools, allowed }
     }
 
     /// No configuration has its pools any more; what they hold open ends by itself.
--- a/crates/proxy/src/socket.rs
+++ b/crates/proxy/src/socket.rs
@@ -1,6 +1,7 @@
 //! A TCP socket that can be looked at while hyper owns it.
 
 use std::cell::{Cell, RefCell};
+use std::future::poll_fn;
 use std::io;
 use std::mem::MaybeUninit;
 use std::pin::Pin;
@@ -12,6 +13,9 @@
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
+/// Read at a time by [`Socket::read_some`].
+const READ: usize = 16 << 10;
+
 /// One owner reads and writes; any copy may ask what lies unread and what was written.
 #[derive(Clone)]
 pub struct Socket(Rc<Shared>);
@@ -100,6 +104,19 @@
         }
     }
 
+    /// Reads what there is and hands it over: so many bytes. The buffer is there only while it is read into, so that a
+    /// silent connection costs none.
+    pub async fn read_some(&mut self, mut take: impl FnMut(&[u8])) -> io::Result<usize> {
+        poll_fn(|cx| {
+            let mut piece = [0; READ];
+            let mut piece = ReadBuf::new(&mut piece);
+            ready!(Pin::new(&mut *self).poll_read(cx, &mut piece))?;
+            take(piece.filled());
+            Poll::Ready(Ok(piece.filled().len()))
+        })
+        .await
+    }
+
     /// Bytes that the kernel has taken for sending up to now.
     pub fn written(&self) -> u64 {
         self.0.written.get()
--- a/crates/store/src/disk.rs
+++ b/crates/store/src/disk.rs
@@ -1,10 +1,10 @@
 //! Versions in a folder.
 
-use std::fs::{self, File};
-use std::io::Write;
+use std::fs;
 use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::path::{Path, PathBuf};
 
+use keep::{Files, Folder};
 use redb::{Database, ReadableTable, TableDefinition};
 
 use crate::{Record, StoreError, Versions, KEPT};
@@ -94,12 +94,10 @@
 
     /// Writes a file whole or not at all.
     fn write(&self, name: &str, bytes: &[u8]) -> std::io::Result<()> {
-        let next = self.folder.join(format!("{name}.next"));
-        let mut file = File::create(&next)?;
-        file.write_all(bytes)?;
-        file.sync_all()?;
-        fs::rename(&next, self.folder.join(name))?;
-        File::open(&self.folder)?.sync_all()
+        // The store's own lock holds the folder.
+        let files = Folder::held(&self.folder);
+        files.replace(&format!("{name}.next"), name, bytes)?;
+        files.sync_folder()
     }
 }
 
--- a/crates/testkit/src/backend.rs
+++ b/crates/testkit/src/backend.rs
@@ -1,13 +1,12 @@
 //! A stand-in backend that follows a script.
 
-use std::collections::VecDeque;
 use std::io::{BufReader, Read, Write};
-use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::sync::mpsc::{self, Receiver, Sender};
+use std::net::{Shutdown, TcpListener, TcpStream};
+use std::sync::mpsc::Sender;
 use std::sync::{Arc, Condvar, Mutex};
-use std::thread;
 
 use crate::message::{hear, Heard};
+use crate::stand_in::{in_turn, Seen, StandIn};
 use crate::PATIENCE;
 
 /// Lets what waits for it go on, now and from then on.
@@ -55,97 +54,43 @@
     Deed::Answer(format!("HTTP/1.1 {status}\r\n{headers}Content-Length: {}\r\n\r\n{body}", body.len()))
 }
 
-/// What a stub backend saw, with the number of the connection.
-#[derive(Debug)]
-pub enum Seen {
-    Request(usize, Heard),
-    /// The proxy closed the connection.
-    Over(usize),
-}
-
-pub struct Backend {
-    pub address: SocketAddr,
-    seen: Receiver<Seen>,
-}
+/// A stand-in that hears HTTP.
+pub type Backend = StandIn<Heard>;
 
 impl Backend {
     /// Does these in turn, and the last one from there on.
     pub fn new(deeds: impl IntoIterator<Item = Deed>) -> Backend {
-        let deeds = Mutex::new(deeds.into_iter().collect::<VecDeque<_>>());
-        Backend::of(move |_| {
-            let mut deeds = deeds.lock().expect("unpoisoned");
-            if deeds.len() > 1 { deeds.pop_front() } else { deeds.front().cloned() }.expect("a deed")
-        })
+        let deed = in_turn(deeds.into_iter().collect());
+        Backend::of(move |_| deed())
     }
 
     /// Does what this says of each request.
     pub fn of(deed: impl Fn(&Heard) -> Deed + Send + Sync + 'static) -> Backend {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
-        let address = listener.local_addr().expect("bound");
-        let deed = Arc::new(deed);
-        let (sender, seen) = mpsc::channel();
-        thread::spawn(move || {
-            for (number, stream) in listener.incoming().enumerate() {
-                let (sender, deed) = (sender.clone(), Arc::clone(&deed));
-                thread::spawn(move || Backend::serve(number, stream.expect("accepts"), &sender, &*deed));
-            }
-        });
-        Backend { address, seen }
-    }
-
-    fn serve(number: usize, mut stream: TcpStream, seen: &Sender<Seen>, deed: &dyn Fn(&Heard) -> Deed) {
-        let mut reader = BufReader::new(stream.try_clone().expect("a copy"));
-        while let Some(request) = hear(&mut reader) {
-            let deed = deed(&request);
-            let _ = seen.send(Seen::Request(number, request));
-            match deed {
-                Deed::Answer(text) => stream.write_all(text.as_bytes()).expect("written"),
-                Deed::AnswerAndClose(text) => {
-                    stream.write_all(text.as_bytes()).expect("written");
-                    stream.shutdown(Shutdown::Write).expect("shut down");
-                    break;
-                }
-                Deed::Held(release, text) => {
-                    release.wait();
-                    stream.write_all(text.as_bytes()).expect("written");
-                }
-                Deed::Silence => break,
-                Deed::Break => return,
-            }
-        }
-        let _ = reader.read_to_end(&mut Vec::new());
-        let _ = seen.send(Seen::Over(number));
-    }
-
-    /// The next thing that it sees.
-    #[track_caller]
-    pub fn next(&self) -> Seen {
-        self.seen.recv_timeout(PATIENCE).expect("the proxy does something")
+        StandIn::serve(listener, move |number, stream, seen| serve(number, stream, seen, &deed))
     }
+}
 
-    /// The next request, and the number of its connection.
-    #[track_caller]
-    pub fn request(&self) -> (usize, Heard) {
-        loop {
-            if let Seen::Request(number, heard) = self.next() {
-                return (number, heard);
+fn serve(number: usize, mut stream: TcpStream, seen: &Sender<Seen<Heard>>, deed: &dyn Fn(&Heard) -> Deed) {
+    let mut reader = BufReader::new(stream.try_clone().expect("a copy"));
+    while let Some(request) = hear(&mut reader) {
+        let deed = deed(&request);
+        let _ = seen.send(Seen::Request(number, request));
+        match deed {
+            Deed::Answer(text) => stream.write_all(text.as_bytes()).expect("written"),
+            Deed::AnswerAndClose(text) => {
+                stream.write_all(text.as_bytes()).expect("written");
+                stream.shutdown(Shutdown::Write).expect("shut down");
+                break;
             }
-        }
-    }
-
-    /// Waits until a connection is closed: its number.
-    #[track_caller]
-    pub fn over(&self) -> usize {
-        loop {
-            if let Seen::Over(number) = self.next() {
-                return number;
+            Deed::Held(release, text) => {
+                release.wait();
+                stream.write_all(text.as_bytes()).expect("written");
             }
+            Deed::Silence => break,
+            Deed::Break => return,
         }
     }
-
-    /// The requests seen up to now and not asked for yet.
-    pub fn requests(&self) -> Vec<Heard> {
-        let seen = self.seen.try_iter();
-        seen.filter_map(|s| if let Seen::Request(_, heard) = s { Some(heard) } else { None }).collect()
-    }
+    let _ = reader.read_to_end(&mut Vec::new());
+    let _ = seen.send(Seen::Over(number));
 }
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -7,13 +7,15 @@
 pub mod message;
 pub mod node;
 pub mod rpc;
+pub mod stand_in;
 
 pub use backend::*;
 pub use caller::*;
 pub use discovery::*;
 pub use message::*;
 pub use node::*;
-pub use rpc::{Frames, Reply, RpcCaller, RpcNode, Told as RpcTold};
+pub use rpc::{Frames, Reply, RpcCaller, RpcNode};
+pub use stand_in::{Seen, StandIn};
 
 use std::time::Duration;
 
--- a/crates/testkit/src/rpc.rs
+++ b/crates/testkit/src/rpc.rs
@@ -1,14 +1,14 @@
 //! Stand-ins that speak JSON-RPC 2.0, written from the specification and sharing no code with the proxy.
 
-use std::collections::VecDeque;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::sync::mpsc::{self, Receiver, Sender};
+use std::sync::mpsc::Sender;
 use std::sync::{Arc, Mutex};
 use std::thread;
 
 use serde_json::{json, Value};
 
+use crate::stand_in::{in_turn, Seen, StandIn};
 use crate::{Release, PATIENCE};
 
 /// How messages are told apart.
@@ -138,85 +138,23 @@
     Break,
 }
 
-/// What a node saw, with the number of the connection.
-#[derive(Debug)]
-pub enum Told {
-    Call(usize, Value),
-    Over(usize),
-}
-
 /// A node that follows a script.
-pub struct RpcNode {
-    pub address: SocketAddr,
-    seen: Receiver<Told>,
-}
+pub type RpcNode = StandIn<Value>;
 
 impl RpcNode {
     /// Does these in turn, and the last one from there on. Notifications are seen, and answered by nothing.
     pub fn new(frames: Frames, replies: impl IntoIterator<Item = Reply>) -> RpcNode {
-        let replies = Arc::new(Mutex::new(replies.into_iter().collect::<VecDeque<_>>()));
-        RpcNode::of(frames, move |_| {
-            let mut replies = replies.lock().expect("unpoisoned");
-            if replies.len() > 1 { replies.pop_front() } else { replies.front().cloned() }.expect("a reply")
-        })
+        let reply = in_turn(replies.into_iter().collect());
+        RpcNode::of(frames, move |_| reply())
     }
 
     /// Does what this says of each call.
     pub fn of(frames: Frames, reply: impl Fn(&Value) -> Reply + Send + Sync + 'static) -> RpcNode {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
-        RpcNode::on(listener, frames, reply)
-    }
-
-    /// The same, on a listener with settings of its own.
-    pub fn on(
-        listener: TcpListener,
-        frames: Frames,
-        reply: impl Fn(&Value) -> Reply + Send + Sync + 'static,
-    ) -> RpcNode {
-        let address = listener.local_addr().expect("bound");
-        let (sender, seen) = mpsc::channel();
-        let reply = Arc::new(reply);
-        thread::spawn(move || {
-            for (number, stream) in listener.incoming().enumerate() {
-                let (sender, reply) = (sender.clone(), Arc::clone(&reply));
-                thread::spawn(move || {
-                    serve(frames, number, stream.expect("accepts"), &sender, &*reply);
-                    let _ = sender.send(Told::Over(number));
-                });
-            }
-        });
-        RpcNode { address, seen }
-    }
-
-    #[track_caller]
-    pub fn next(&self) -> Told {
-        self.seen.recv_timeout(PATIENCE).expect("the proxy does something")
-    }
-
-    /// The next call, and the number of its connection.
-    #[track_caller]
-    pub fn call(&self) -> (usize, Value) {
-        loop {
-            if let Told::Call(number, call) = self.next() {
-                return (number, call);
-            }
-        }
-    }
-
-    /// Waits until a connection is closed.
-    #[track_caller]
-    pub fn over(&self) -> usize {
-        loop {
-            if let Told::Over(number) = self.next() {
-                return number;
-            }
-        }
-    }
-
-    /// The calls seen up to now and not asked for yet.
-    pub fn calls(&self) -> Vec<Value> {
-        let seen = self.seen.try_iter();
-        seen.filter_map(|s| if let Told::Call(_, call) = s { Some(call) } else { None }).collect()
+        StandIn::serve(listener, move |number, stream, seen| {
+            serve(frames, number, stream, seen, &reply);
+            let _ = seen.send(Seen::Over(number));
+        })
     }
 }
 
@@ -224,7 +162,7 @@
     frames: Frames,
     number: usize,
     stream: TcpStream,
-    seen: &Sender<Told>,
+    seen: &Sender<Seen<Value>>,
     reply: &dyn Fn(&Value) -> Reply,
 ) -> Option<()> {
     stream.set_nodelay(true).ok()?;
@@ -236,7 +174,7 @@
     while let Some(text) = frames.read(&mut reader) {
         let call: Value = serde_json::from_str(&text).expect("the proxy writes JSON");
         let id = call.get("id").cloned();
-        let _ = seen.send(Told::Call(number, call.clone()));
+        let _ = seen.send(Seen::Request(number, call.clone()));
         let Some(id) = id else { continue };
         let answer = |result: &Value| json!({ "jsonrpc": "2.0", "id": id, "result": result }).to_string();
         match reply(&call) {
--- a/tests/jsonrpc.rs
+++ b/tests/jsonrpc.rs
@@ -64,7 +64,7 @@
     }
     // What the node gets are the proxy's own, each another.
     let own: BTreeSet<String> =
-        node.calls().iter().map(|c| c["id"].as_str().expect("a string").to_owned()).collect();
+        node.requests().iter().map(|c| c["id"].as_str().expect("a string").to_owned()).collect();
     assert_eq!(own.len(), 6);
     for bad in ["1.5", "1e3", "{}", "true", r#""\ud800""#] {
         caller.send(&format!(r#"{{"id":{bad},"jsonrpc":"2.0","method":"standings"}}"#));
@@ -74,7 +74,7 @@
     assert_eq!(caller.hear()["id"], Value::Null, "which of the two is meant?");
     caller.send_bytes(b"Content-Length: 3\r\n\r\n\"\xff\"");
     assert_eq!(code(&caller.hear()), -32700);
-    assert!(node.calls().is_empty());
+    assert!(node.requests().is_empty());
 }
 
 #[test]
@@ -114,20 +114,20 @@
     let proxy = Both::start(&site);
     let mut caller = proxy.rpc();
     caller.send(&request(1, "standings", json!({})));
-    node.call();
+    node.request();
     caller.send(&request(2, "standings", json!({})));
-    assert_eq!((&caller.hear()["result"], node.call().0), (&json!("soon"), 0), "on the same connection");
+    assert_eq!((&caller.hear()["result"], node.request().0), (&json!("soon"), 0), "on the same connection");
     // An id that is open, and one in other spelling.
     caller.send(&request(1, "standings", json!({})));
     assert_eq!(code(&caller.hear()), -32003);
     for id in 3..=10 {
         caller.send(&request(id, "standings", json!({})));
     }
-    assert_eq!(node.call().1["method"], "standings");
+    assert_eq!(node.request().1["method"], "standings");
     // Another caller is served meanwhile; of this one nothing more has been read.
     proxy.rpc().send(&request(99, "standings", json!({})));
-    assert_eq!(node.call().1["params"]["_meta"]["verb"], Value::Null);
-    assert!(node.calls().is_empty());
+    assert_eq!(node.request().1["params"]["_meta"]["verb"], Value::Null);
+    assert!(node.requests().is_empty());
     release.release();
     let answered: BTreeSet<i64> = (0..9).map(|_| caller.hear()["id"].as_i64().expect("a number")).collect();
     assert_eq!(answered, BTreeSet::from([1, 3, 4, 5, 6, 7, 8, 9, 10]));
@@ -162,7 +162,7 @@
     assert_eq!(code(of(json!(4))), -32600);
     assert_eq!(code(of(json!("five"))), -32602, "its class wants a key");
     // The notification ran once as well; nothing that may have run was sent again.
-    let calls = node.calls();
+    let calls = node.requests();
     let ran = |what: &Value| {
         calls.iter().filter(|c| c["params"]["do"] == *what && c["method"] == "close-round").count()
     };
@@ -238,11 +238,11 @@
         request(1, "close-round", json!({})),
         r#"{"jsonrpc":"2.0","method":"close-round","params":{}}"#
     ));
-    let ids: BTreeSet<String> = (0..2).map(|_| node.call().1["id"].to_string()).collect();
+    let ids: BTreeSet<String> = (0..2).map(|_| node.request().1["id"].to_string()).collect();
     drop(caller);
     let called_off: BTreeSet<String> = (0..2)
         .map(|_| {
-            let notice = node.call().1;
+            let notice = node.request().1;
             assert_eq!(notice["method"], "$/cancelRequest", "unsafe work is not sent again: {notice}");
             notice["params"]["id"].to_string()
         })
@@ -251,7 +251,7 @@
     // The connection goes on.
     let mut caller = proxy.rpc();
     caller.send(&request(1, "standings", json!({})));
-    assert_eq!(node.call().0, 0);
+    assert_eq!(node.request().0, 0);
 }
 
 /// A connection breaks with calls on it that were not written, written in part, written, answered: each has one answer,
@@ -317,7 +317,7 @@
     let ids: BTreeSet<u64> = answers.iter().map(|a| a["id"].as_u64().expect("a number")).collect();
     assert_eq!(ids.len(), CALLS, "one answer each");
     let second: BTreeSet<u64> =
-        sound.calls().iter().map(|c| c["params"]["n"].as_u64().expect("a number")).collect();
+        sound.requests().iter().map(|c| c["params"]["n"].as_u64().expect("a number")).collect();
     assert!(second.is_disjoint(&whole), "ran twice: {:?}", second.intersection(&whole).collect::<Vec<_>>());
     for answer in &answers {
         match answer["result"].as_str() {
@@ -357,7 +357,7 @@
     assert_eq!(code(&caller.call(1, "close-round", json!({}))), -32001);
     assert_eq!(code(&caller.call(2, "close-round", json!({}))), -32001);
     assert_eq!(caller.call(3, "close-round", json!({}))["result"]["method"], "close-round");
-    assert_eq!(node.calls().len(), 3);
+    assert_eq!(node.requests().len(), 3);
 }
 
 #[test]
@@ -369,7 +369,7 @@
     let mut proxy = Both::start(&site);
     let mut caller = proxy.rpc();
     caller.send(&request(1, "close-round", json!({})));
-    node.call();
+    node.request();
     proxy.process.reload(&other.config());
     proxy.process.says("configuration 2:");
     assert_eq!(
@@ -421,7 +421,7 @@
     );
     assert_eq!(by_rpc.header("Idempotency-Key"), Some("k2"));
     assert_eq!(serde_json::from_slice::<Value>(&by_rpc.body).expect("JSON")["a"], 1);
-    let (from_http, from_rpc) = (node.call().1, node.call().1);
+    let (from_http, from_rpc) = (node.request().1, node.request().1);
     assert_eq!((&from_http["method"], &from_http["params"]["a"]), (&json!("report-result"), &json!(1)));
     let meta = &from_http["params"]["_meta"];
     assert_eq!((&meta["key"], &meta["path"]), (&json!("k"), &json!("/report-result/12?a=b")));
@@ -447,7 +447,7 @@
     };
     let mut caller = proxy.rpc();
     caller.send(&request(1, "report-result", json!({ "key": "k" })));
-    node.call();
+    node.request();
     // Open: told so, the same on both.
     let told = post("k");
     assert_eq!((told.status(), told.header("X-Refusal-Cause")), (409, Some("key-open")));
@@ -460,12 +460,12 @@
     // Served: the same answer, and nothing is sent.
     assert_eq!(post("k").body, b"\"done\"");
     assert_eq!(proxy.rpc().call(3, "report-result", json!({ "key": "k" }))["result"], "done");
-    assert!(node.calls().is_empty());
+    assert!(node.requests().is_empty());
     // Another key is another, and after the window so is this one.
     assert_eq!(post("l").body, b"\"again\"");
     thread::sleep(Duration::from_millis(4_100).saturating_sub(served.elapsed()));
     assert_eq!(post("k").body, b"\"again\"");
-    assert_eq!(node.calls().len(), 2);
+    assert_eq!(node.requests().len(), 2);
     // Both at once: one runs, the other is told.
     for round in 0..50 {
         let key = format!("r{round}");
@@ -476,7 +476,7 @@
         let (by_http, by_rpc) = (http.hear().status(), rpc.hear());
         assert!(by_http == 200 || by_http == 409, "{by_http}");
         assert!(by_rpc["result"] == "again" || code(&by_rpc) == -32003, "{by_rpc}");
-        assert_eq!(node.calls().len(), 1, "round {round}");
+        assert_eq!(node.requests().len(), 1, "round {round}");
     }
 }
 
@@ -496,7 +496,7 @@
     assert!(full["error"]["data"]["retryAfterMs"].as_u64() > Some(1_000));
     let done = call("a");
     assert_eq!((code(&done), &done["error"]["data"]["cause"]), (-32003, &json!("key-done")));
-    assert_eq!(node.calls().len(), 3);
+    assert_eq!(node.requests().len(), 3);
 }
 
 // ---- Configuration ----
