Keep connections free while an only proxy ends, and end by the classes' deadlines

Checked: the log of a probe shows clients with 21 connections open asking for the last time at the moment when all of them are busy, 0.46 and 0.56 s after the signal; the connections then stand idle until clients close them. One that ignores the signal is killed after 3.74 s: the longest deadline of a class, 3 s, and 0.7 s.

Lines to blame: Callers::wait in server/mod.rs, which began at zero, and that nothing kept a connection free in Balancer::on_request.

--- a/crates/decide/src/choice.rs
+++ b/crates/decide/src/choice.rs
@@ -45,6 +45,11 @@
 /// A call with less than this part of what its class takes left is refused at once: guards against work that
 /// no client waits for. Higher spares more work, and refuses some that a fast server would have served.
 const HOPELESS: f64 = 0.5;
+/// Connections that stay free for the highest worth where callers get no new ones, and one more for each row
+/// under it. Fewer serve more at once, and more often leave a caller with none.
+const WAYS_KEPT: usize = 3;
+/// But at most this part of them.
+const WAYS_KEPT_OF: usize = 4;
 /// The part of the cold budget that is used at most; the rest is for uneven instances.
 const COLD_SAFETY: f64 = 0.5;
 /// Pools up to this size are ranked whole; in larger ones half as many are drawn beside the own part.
@@ -519,11 +524,21 @@
         };
         self.requests.insert(r.id, request);
         let hopeless = (r.time_left as f64) < HOPELESS * self.usual(r.class);
-        if hopeless || self.full(now, row) || !self.dispatch(now, r.id, out) {
-            self.refuse(r.id, out);
+        if self.last_ways_in(r, row) {
+            // Clients come back to a connection that is free by then.
+            self.refuse(r.id, self.usual(r.class) as Micros, out);
+        } else if hopeless || self.full(now, row) || !self.dispatch(now, r.id, out) {
+            self.refuse(r.id, 0, out);
         }
     }
 
+    /// Is this call to leave its connection to the next one? Guards against callers that find none free while
+    /// the only balancer ends: they take it for dead and leave the others unused, too.
+    fn last_ways_in(&self, r: &NewRequest, row: usize) -> bool {
+        let kept = WAYS_KEPT + self.table.len() - 1 - row;
+        self.s.balancers == 1 && r.ways_in.is_some_and(|w| w.free < kept.min(w.all / WAYS_KEPT_OF))
+    }
+
     /// Does a call of this row meet the threshold under the cursor? Where a balancer's own T1 is too small
     /// to count in, a group that talks counts one queue against the sum of its T1: guards against many floors
     /// that together admit far more than the pool can do.
@@ -748,7 +763,7 @@
             }
             return;
         }
-        self.refuse(id, out);
+        self.refuse(id, 0, out);
     }
 
     // ---- Rule guards ----
@@ -803,7 +818,7 @@
     }
 
     /// The only place that refuses: where an attempt may have run and the class forbids it, it fails instead.
-    fn refuse(&mut self, id: RequestId, out: &mut Out) {
+    fn refuse(&mut self, id: RequestId, wait: Micros, out: &mut Out) {
         let Some(request) = self.requests.get(&id) else { return };
         let may_have_run = request.attempts.iter().any(|a| a.may_have_run);
         let allowed = match self.s.classes[request.class].semantics {
@@ -816,8 +831,9 @@
         }
         if allowed {
             // At the front, and while shedding, clients come back when this overload may have passed.
-            let advise = self.s.retry_after && self.s.tier == 0 && self.cursor >= FIRST_SLOTS;
-            let retry_after = if advise { self.s.max_retry_after } else { 0 };
+            let wait = if self.cursor >= FIRST_SLOTS { self.s.max_retry_after } else { wait };
+            let advise = self.s.retry_after && self.s.tier == 0;
+            let retry_after = if advise { wait.min(self.s.max_retry_after) } else { 0 };
             out.push(Action::Refuse { request: id, retry_after });
         } else {
             out.push(Action::Fail(id));
--- a/crates/decide/src/interface.rs
+++ b/crates/decide/src/interface.rs
@@ -346,6 +346,17 @@
     pub allowed: Option<Arc<Allowed>>,
     /// The attempts that it may have, where that is less than the settings say; 0 says nothing.
     pub attempts: usize,
+    /// The connections that callers have left, where they get no new ones.
+    pub ways_in: Option<WaysIn>,
+}
+
+/// The connections of callers to a balancer that gets no new ones, as while it ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct WaysIn {
+    /// Those that wait for a request.
+    pub free: usize,
+    /// All that are open.
+    pub all: usize,
 }
 
 /// Something that happened.
--- a/crates/decide/tests/decisions.rs
+++ b/crates/decide/tests/decisions.rs
@@ -197,6 +197,33 @@
     assert!(admitted[0] > 0 && admitted[1] > admitted[0], "{admitted:?}");
 }
 
+/// A caller that finds no connection free while the only balancer ends takes it for dead, and leaves all of them.
+#[test]
+fn the_last_connections_of_an_only_balancer_that_ends_stay_free_and_longest_for_high_worth() {
+    let class = |gain| Class { gain, ..settings().classes[0].clone() };
+    let two = Settings { classes: vec![class(1.0), class(3.0)], retry_after: true, ..settings() };
+    let two = Settings { max_retry_after: 90_000, ..two };
+    let answer = |settings: &Settings, class, ways_in| {
+        let mut proxy = Proxy::new(settings.clone(), &pool(4));
+        let request =
+            NewRequest { id: RequestId(1), class, time_left: 2_000_000, ways_in, ..NewRequest::default() };
+        proxy.tell(Event::Request(request))
+    };
+    let least_free = |settings: &Settings, class, all| {
+        let ways = |free| Some(WaysIn { free, all });
+        (0..all).find(|&free| !refused(&answer(settings, class, ways(free)))).expect("some free are enough")
+    };
+    assert_eq!([least_free(&two, 0, 40), least_free(&two, 1, 40)], [4, 3]);
+    // A few connections are for serving most of all.
+    assert_eq!([least_free(&two, 0, 8), least_free(&two, 1, 3)], [2, 0]);
+    let none_free = Some(WaysIn { free: 0, all: 40 });
+    let advice = Action::Refuse { request: RequestId(1), retry_after: 90_000 };
+    assert_eq!(answer(&two, 1, none_free), [advice]);
+    // Where callers may go elsewhere, or open more, each connection serves.
+    assert!(!refused(&answer(&Settings { balancers: 2, ..two.clone() }, 1, none_free)));
+    assert!(!refused(&answer(&two, 1, None)));
+}
+
 fn cold_settings() -> Settings {
     Settings {
         balancers: 10,
--- a/crates/proxy/src/gate.rs
+++ b/crates/proxy/src/gate.rs
@@ -3,6 +3,7 @@
 use std::any::Any;
 use std::cell::RefCell;
 use std::sync::Arc;
+use std::time::Duration;
 
 use decide::interface::*;
 use decide::settings::Names;
@@ -40,6 +41,16 @@
     /// Is there a list of nodes?
     fn is_ready(&self) -> bool;
 
+    /// The longest time that a client may wait for an answer, as far as that is known before any has.
+    fn longest_wait(&self) -> Duration {
+        Duration::ZERO
+    }
+
+    /// Have callers nowhere else to go while this proxy ends?
+    fn is_alone(&self) -> bool {
+        false
+    }
+
     /// Is `Retry-After` in whole seconds, as ordinary clients read it?
     fn whole_seconds(&self) -> bool;
 }
@@ -171,6 +182,15 @@
         self.ready.get()
     }
 
+    fn longest_wait(&self) -> Duration {
+        let longest = self.settings.classes.iter().map(|class| class.deadline).max();
+        Duration::from_micros(longest.unwrap_or_default().max(0) as u64)
+    }
+
+    fn is_alone(&self) -> bool {
+        self.settings.balancers == 1
+    }
+
     fn whole_seconds(&self) -> bool {
         false
     }
--- a/crates/proxy/src/request.rs
+++ b/crates/proxy/src/request.rs
@@ -103,6 +103,7 @@
         is_retry: one("x-retried")? == Some("1"),
         allowed: course.allowed(),
         attempts: course.attempts(),
+        ways_in: None,
     };
     let key = key.filter(|_| keyed).map(str::to_owned);
     Ok(Opened { new, id, key, ids, once, method, course, class, patience: Duration::from_millis(ms) })
--- a/crates/proxy/src/server/mod.rs
+++ b/crates/proxy/src/server/mod.rs
@@ -12,6 +12,7 @@
 use std::time::Duration;
 
 use config::Protocol;
+use decide::interface::WaysIn;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
 use tokio::task::spawn_local;
@@ -20,14 +21,19 @@
 use crate::exchange::MOST_BUFFER;
 use crate::gate::{Connection, Router};
 use crate::ids::Ids;
+use crate::log::say;
 use crate::socket::Socket;
 
 /// Accepted for at least this long after the signal to end: the front takes a while to notice.
 const STILL_ACCEPTING: Duration = Duration::from_millis(500);
 /// No kill follows the signal sooner than this and the longest time that a client waits, as far as that counts.
 const KILL: Duration = Duration::from_millis(700);
+/// No kill is waited for beyond this of the longest time that a client waits.
+const MOST_OF_WAIT: Duration = Duration::from_secs(3);
 /// Callers are served on until this much before that: most answers take less.
 const LAST_ANSWERS: Duration = Duration::from_millis(1200);
+/// And where they have nowhere else to go until this much before: the decisions refuse what is hopeless.
+const LAST_ANSWERS_ALONE: Duration = Duration::from_millis(500);
 /// A caller is expected to send its first request within this time.
 const NEW: Duration = Duration::from_millis(250);
 /// The head of a request has come whole within this time: from the start of the connection for its first
@@ -83,6 +89,7 @@
 
 /// Serves callers until `stop`, and then until all that was taken has its answer.
 pub async fn run(gate: Gate, listener: TcpListener, most: usize, stop: impl Future<Output = ()>) {
+    let wait = gate.router.longest_wait().min(MOST_OF_WAIT);
     let callers = Rc::new(Callers {
         gate,
         most,
@@ -90,7 +97,7 @@
         room: Notify::new(),
         ending: Cell::new(false),
         leaving: Cell::new(false),
-        wait: Cell::default(),
+        wait: Cell::new(wait),
         kill: Cell::default(),
     });
     let mut stop = pin!(stop);
@@ -106,7 +113,13 @@
     // Guards against a time with no proxy at all: while others of the tier restart too, or die, callers can
     // often go nowhere else. Who meets a closed port takes the proxy for dead and leaves the connections as
     // well. Does harm where the kill comes sooner than promised: what it finds open is lost.
-    let serving = STILL_ACCEPTING.max(kill.saturating_sub(LAST_ANSWERS));
+    let last = if callers.gate.router.is_alone() { LAST_ANSWERS_ALONE } else { LAST_ANSWERS };
+    let serving = STILL_ACCEPTING.max(kill.saturating_sub(last));
+    say(format_args!(
+        "told to end: serving on for {:.1} s, on {} connections",
+        serving.as_secs_f64(),
+        callers.all.borrow().len()
+    ));
     let _ = timeout(serving, accept(&callers, &listener, &mut accepted)).await;
     // What the kernel has accepted by now is taken, too.
     if let Ok(listener) = listener.into_std() {
@@ -166,6 +179,19 @@
 }
 
 impl Callers {
+    /// What is left to callers once the front has them go elsewhere; None while new connections come.
+    fn ways_in(&self) -> Option<WaysIn> {
+        self.ending.get().then(|| {
+            let all = self.all.borrow();
+            WaysIn { free: all.values().filter(|c| !c.busy.get()).count(), all: all.len() }
+        })
+    }
+
+    /// Takes note of how long a client waits.
+    fn waits(&self, patience: Duration) {
+        self.wait.set(self.wait.get().max(patience.min(MOST_OF_WAIT)));
+    }
+
     fn staying(&self) -> usize {
         self.all.borrow().values().filter(|c| !c.closing.get()).count()
     }
--- a/crates/proxy/src/server/serving.rs
+++ b/crates/proxy/src/server/serving.rs
@@ -12,8 +12,6 @@
 use crate::inbox::Handle;
 use crate::request::Sound;
 
-/// No kill is waited for beyond this of the longest time that a client waits.
-const MOST_OF_WAIT: Duration = Duration::from_secs(3);
 /// What is taken after the signal has its answer this much before the kill.
 const KILL_MARGIN: Duration = Duration::from_millis(200);
 /// The decisions get this much less than the client's time, for the answer's way back.
@@ -25,7 +23,8 @@
 /// this tells them that its client left.
 pub async fn serve(callers: &Callers, sound: Sound, received: Instant) -> Answer {
     let Sound { mut new, message, mut course, patience, mut held, claim: _claim } = sound;
-    callers.wait.set(callers.wait.get().max(patience.min(MOST_OF_WAIT)));
+    callers.waits(patience);
+    new.ways_in = callers.ways_in();
     // What would still be open when the kill comes gets its answer before that.
     let left = callers.kill.get().map(|at| at.saturating_duration_since(received + KILL_MARGIN));
     let patience = left.map_or(patience, |left| patience.min(left));
--- a/src/bin/amberlever-adapter/wire.rs
+++ b/src/bin/amberlever-adapter/wire.rs
@@ -311,6 +311,7 @@
                     is_retry: marks & 2 != 0,
                     allowed: None,
                     attempts: 0,
+                    ways_in: None,
                 })
             }
             "OPENED" => {
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -653,16 +653,19 @@
 #[test]
 fn a_proxy_told_to_end_serves_on_for_as_long_as_it_may() {
     let backend = Backend::new([ok("done")]);
-    let mut proxy = Setup::of(&[&backend]).start();
+    let mut setup = Setup::of(&[&backend]);
+    setup.aim_ms = 1000;
+    let mut proxy = setup.start();
     let mut caller = proxy.caller();
-    // The longest wait says how soon the proxy may be killed: here not within 3.7 s.
-    assert_eq!(caller.ask(&read("id-0", 9000)).status(), 200);
+    // The longest deadline of a class says how soon the proxy may be killed, here not within 3.7 s, and not the
+    // little time that its clients had so far.
+    assert_eq!(caller.ask(&read("id-0", 600)).status(), 200);
     proxy.terminate();
     let (since, mut served) = (Instant::now(), Duration::ZERO);
     // Both who is connected and who comes may have nowhere else to go.
     for n in 1.. {
         let Ok(newcomer) = TcpStream::connect(proxy.address) else { break };
-        if served < Duration::from_secs(1) {
+        if served < Duration::from_secs(2) {
             assert_eq!(caller.ask(&write(&format!("id-{n}-old"), 9000, "x")).status(), 200);
         }
         let mut newcomer = Caller::of(newcomer);
@@ -672,11 +675,47 @@
         }
         thread::sleep(Duration::from_millis(20));
     }
-    assert!(served > Duration::from_secs(1), "{served:?}");
+    // It is the only one of its tier, so nobody is served elsewhere.
+    assert!(served > Duration::from_millis(2600), "{served:?}");
     assert!(caller.is_closed());
     assert!(proxy.end().success());
 }
 
+#[test]
+fn callers_of_the_only_proxy_told_to_end_find_a_connection_free() {
+    let silent: Vec<Backend> = (0..4).map(|_| Backend::new([Deed::Silence])).collect();
+    let mut proxy = Setup::of(&silent.iter().collect::<Vec<_>>()).start();
+    let mut callers: Vec<Caller> = (0..20).map(|_| proxy.caller()).collect();
+    for caller in &mut callers {
+        assert_eq!(caller.ask("GET /healthz HTTP/1.1\r\nHost: n0\r\n\r\n").status(), 200);
+    }
+    proxy.terminate();
+    proxy.says("told to end: serving on for 3.2 s, on 20 connections");
+    let (since, mut taken) = (Instant::now(), 0);
+    for (n, caller) in callers[..17].iter_mut().enumerate() {
+        caller.send(&read(&format!("id-{n}"), 9000));
+        // One after another, as each counts what the others use.
+        while taken <= n {
+            assert!(since.elapsed() < Duration::from_secs(3), "only {taken} of 17 were let in");
+            taken += silent.iter().map(|b| b.requests().len()).sum::<usize>();
+            thread::sleep(Duration::from_millis(1));
+        }
+    }
+    // With three connections left, each of them is answered at once and free again, however often it is asked.
+    for round in 0..3 {
+        for (n, caller) in callers[17..].iter_mut().enumerate() {
+            let answer = caller.ask(&read(&format!("id-{round}-{n}"), 9000));
+            assert_eq!((answer.status(), answer.header("Retry-After")), (503, Some("2.000")));
+            assert_eq!(answer.header("Connection"), None);
+        }
+    }
+    assert!(since.elapsed() < Duration::from_secs(3), "refused at once, before it ends");
+    assert_eq!(silent.iter().map(|b| b.requests().len()).sum::<usize>(), 0);
+    // What it holds has its answer, which may have run, before it may be killed.
+    assert!(callers[..17].iter_mut().all(|caller| matches!(caller.hear().status(), 502..=504)));
+    assert!(proxy.end().success());
+}
+
 #[test]
 fn what_is_asked_late_of_a_proxy_that_ends_is_answered_before_it_may_be_killed() {
     let backend = Backend::new([ok("done"), Deed::Silence]);
@@ -690,7 +729,7 @@
         thread::sleep(Duration::from_millis(5));
     }
     let asked = Instant::now();
-    // Waits for far longer than the 2.7 s for which the proxy may go on.
+    // Waits for far longer than the 3.5 s for which the proxy may go on.
     caller.send(&read("id-2", 19_000));
     assert!(matches!(caller.hear().status(), 502..=504));
     assert!(asked.elapsed() < Duration::from_secs(6), "{:?}", asked.elapsed());
