Keep what was learned in a folder while serving, and start from there

The decisions state their figures and the format and the files were there; nothing wrote or read them.

Change: [knowledge] in an own installation's file names a folder. proxy::memory asks each pool for its figures every so often and at the end, and a thread of its own writes them; at the start the newest sound file is read, without the lock that the former process may still hold, and learned behind the first list. The time of writing is a section of the file, passed over by older readers; a time to come or none counts as very old. A node's start is written as discovery tells it, so that it compares equal whatever the wall clock did. A folder that cannot be had costs a line. A tenant's file may not name one. Files over 64 MiB are neither kept nor read.

--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::PathBuf;
+use std::time::Duration;
 
 use decide::interface::{self, Group, Micros, Semantics};
 use jsonrpc::Framing;
@@ -14,7 +15,7 @@
 use crate::fleet::{Node, NodeState};
 use crate::hosted::{Role, Setup, Shared, Token};
 use crate::method::{Member, Members, Method, Methods, Protocol, Template, Verb};
-use crate::model::{sockets_suffice, Class, Config, Limits, Listener, Pool, Source};
+use crate::model::{sockets_suffice, Class, Config, Knowledge, Limits, Listener, Pool, Source};
 
 /// The longest time that makes sense anywhere, in milliseconds: a day.
 const MOST_MS: u64 = 24 * 3600 * 1000;
@@ -79,6 +80,7 @@
     }
     let methods = check.methods(&file.methods, &file.members, &classes, &class_names);
     let keys = check.keys(&server.keys);
+    let knowledge = file.knowledge.as_ref().map(|written| check.knowledge(written, beside));
     let name = check.faults.name(text).to_owned();
     let origins: Vec<_> =
         file.routes.iter().map(|r| (name.clone(), check.faults.line(text, r.name.span().start))).collect();
@@ -92,6 +94,7 @@
         proxies,
         limits,
         keys,
+        knowledge,
         methods,
         tenants,
         classes,
@@ -129,6 +132,10 @@
             check.fault(span, format!("a hosted service has no {sort} of its own"), Some(help));
         }
     }
+    if let Some(knowledge) = &file.knowledge {
+        let span = knowledge.folder.span();
+        check.fault(span, "[knowledge]: a hosted service does not keep what its pools learn", None);
+    }
     let admin = file.admin?;
     let given = &server.capacity;
     let most = |x: &Option<u64>, least: u64| x.unwrap_or(least).max(1);
@@ -339,19 +346,36 @@
         word.get_ref().clone()
     }
 
-    /// The bounds of the table of keys.
-    fn keys(&mut self, written: &file::Keys) -> keys::Bounds {
-        let usual = keys::Bounds::default();
-        let mut within = |key: &str, given: &Option<Spanned<usize>>, usual: usize, most: usize| match given {
+    /// A number from 1 to `most`, or the usual one.
+    fn bounded(&mut self, key: &str, given: &Option<Spanned<usize>>, usual: usize, most: usize) -> usize {
+        match given {
             Some(x) if !(1..=most).contains(x.get_ref()) => {
                 self.fault(x.span(), format!("`{key}`: {} is not from 1 to {most}", x.get_ref()), None);
                 usual
             }
             given => given.as_ref().map_or(usual, |x| *x.get_ref()),
-        };
+        }
+    }
+
+    /// The bounds of the table of keys.
+    fn keys(&mut self, written: &file::Keys) -> keys::Bounds {
+        let usual = keys::Bounds::default();
         keys::Bounds {
-            entries: within("entries", &written.entries, usual.entries, 100_000_000),
-            bytes: within("bytes", &written.bytes, usual.bytes, 1 << 40),
+            entries: self.bounded("entries", &written.entries, usual.entries, 100_000_000),
+            bytes: self.bounded("bytes", &written.bytes, usual.bytes, 1 << 40),
+        }
+    }
+
+    /// Where what was learned is kept.
+    fn knowledge(&mut self, written: &file::Knowledge, beside: &dyn Fn(&str) -> PathBuf) -> Knowledge {
+        if written.folder.get_ref().is_empty() {
+            self.fault(written.folder.span(), "`folder`: names none", None);
+        }
+        let every = self.bounded("every_s", &written.every_s, 10, 3600);
+        Knowledge {
+            folder: beside(written.folder.get_ref()),
+            every: Duration::from_secs(every as u64),
+            files: self.bounded("files", &written.files, 4, 100),
         }
     }
 
--- a/crates/config/src/file.rs
+++ b/crates/config/src/file.rs
@@ -25,12 +25,22 @@
     pub methods: Vec<Method>,
     #[serde(default)]
     pub members: Members,
+    /// Where what was learned outlives the process.
+    pub knowledge: Option<Knowledge>,
     /// With it the file is that of a hosted service.
     pub admin: Option<Admin>,
     #[serde(default, rename = "tenant")]
     pub tenants: Vec<Seed>,
 }
 
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct Knowledge {
+    pub folder: Word,
+    pub every_s: Option<Spanned<usize>>,
+    pub files: Option<Spanned<usize>>,
+}
+
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 pub(crate) struct Admin {
--- a/crates/config/src/hosted.rs
+++ b/crates/config/src/hosted.rs
@@ -349,8 +349,8 @@
         return Err(fault("`config` is an object with `limits`, `class`, `pool`, `route` and `expect`"));
     };
     let expect = parts.remove("expect").unwrap_or_else(|| json!([]));
-    if parts.remove("server").is_some() {
-        return Err(fault("`config`: `server` is the operator's"));
+    if let Some(operators) = ["server", "knowledge"].into_iter().find(|key| parts.contains_key(*key)) {
+        return Err(fault(&format!("`config`: `{operators}` is the operator's")));
     }
     // Tenants share the machine, and none may make it read a file.
     let files = parts.get("pool").and_then(Value::as_array).into_iter().flatten();
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -18,7 +18,7 @@
 pub use fleet::{parse_list, Fleet, Health, Host, HostList, Node, NodeState};
 pub use hosted::{Document, Refused, Role, Setup, Shared, Tenant, TenantDoc, TenantLimits, Tenants, Token};
 pub use method::{escape, Member, Members, Method, Methods, Protocol, Template, Verb};
-pub use model::{sockets_cut, Class, Config, Limits, Listener, Pool, Source};
+pub use model::{sockets_cut, Class, Config, Knowledge, Limits, Listener, Pool, Source};
 pub use play::{Failure, Report, Verdict};
 
 use std::path::{Path, PathBuf};
--- a/crates/config/src/model.rs
+++ b/crates/config/src/model.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::path::PathBuf;
+use std::time::Duration;
 
 use decide::interface::{self, Micros, Settings};
 use route::Table;
@@ -24,6 +25,8 @@
     pub limits: Limits,
     /// Keys that are known at once, and bytes of their answers.
     pub keys: keys::Bounds,
+    /// Where what was learned is kept, if it is.
+    pub knowledge: Option<Knowledge>,
     /// JSON-RPC's methods.
     pub methods: Methods,
     /// The tenants.
@@ -42,6 +45,17 @@
     pub kinds: Vec<String>,
 }
 
+/// Where what was learned outlives the process.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Knowledge {
+    /// The folder, which one process writes at a time.
+    pub folder: PathBuf,
+    /// Written so often, and at the end.
+    pub every: Duration,
+    /// Files that are kept, the newest one included.
+    pub files: usize,
+}
+
 /// An address that callers connect to.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Listener {
--- a/crates/decide/src/settings.rs
+++ b/crates/decide/src/settings.rs
@@ -109,6 +109,30 @@
         intern(&mut self.kinds, name)
     }
 
+    /// What a zone is called.
+    #[must_use]
+    pub fn zone_name(&self, index: usize) -> Option<&str> {
+        self.zones.get(index).map(String::as_str)
+    }
+
+    /// What a machine kind is called.
+    #[must_use]
+    pub fn kind_name(&self, index: usize) -> Option<&str> {
+        self.kinds.get(index).map(String::as_str)
+    }
+
+    /// The index of a zone that has one.
+    #[must_use]
+    pub fn find_zone(&self, name: &str) -> Option<usize> {
+        self.zones.iter().position(|z| z == name)
+    }
+
+    /// The index of a machine kind that has one.
+    #[must_use]
+    pub fn find_kind(&self, name: &str) -> Option<usize> {
+        self.kinds.iter().position(|k| k == name)
+    }
+
     /// The index of a class.
     #[must_use]
     pub fn class(&self, name: &str) -> Option<usize> {
--- a/crates/keep/src/folder.rs
+++ b/crates/keep/src/folder.rs
@@ -1,10 +1,10 @@
 //! A folder of the file system, held by one process.
 
 use std::fs::{self, File, TryLockError};
-use std::io::{self, Write};
+use std::io::{self, Read, Write};
 use std::path::{Path, PathBuf};
 
-use crate::Files;
+use crate::{Files, MOST_BYTES};
 
 /// Held for as long as a process has the folder.
 const LOCK: &str = "lock";
@@ -67,7 +67,13 @@
     }
 
     fn read(&self, name: &str) -> io::Result<Vec<u8>> {
-        fs::read(self.path.join(name))
+        let mut bytes = Vec::new();
+        // One that is larger than any that was put is none of ours.
+        File::open(self.path.join(name))?.take(MOST_BYTES + 1).read_to_end(&mut bytes)?;
+        if bytes.len() as u64 > MOST_BYTES {
+            return Err(io::Error::new(io::ErrorKind::FileTooLarge, "too large"));
+        }
+        Ok(bytes)
     }
 
     fn write(&self, name: &str, bytes: &[u8]) -> io::Result<()> {
--- a/crates/keep/src/lib.rs
+++ b/crates/keep/src/lib.rs
@@ -63,6 +63,9 @@
     }
 }
 
+/// The largest file that is kept, or read, in bytes.
+pub const MOST_BYTES: u64 = 64 << 20;
+
 /// The name that a file has until it is whole.
 const TEMPORARY: &str = "new.tmp";
 /// What the others are called, with a number of twenty digits before it.
@@ -77,6 +80,24 @@
     (digits.len() == 20 && digits.bytes().all(|b| b.is_ascii_digit())).then(|| digits.parse().ok())?
 }
 
+/// The newest file of a folder that another process may hold: as [`Keeper::newest`], and nothing is touched.
+///
+/// # Errors
+/// The folder cannot be listed.
+pub fn newest<T>(files: &impl Files, sound: impl FnMut(&[u8]) -> Option<T>) -> io::Result<Option<T>> {
+    let numbers = files.list()?.iter().filter_map(|n| number(n)).collect();
+    Ok(soundest(files, &numbers, sound))
+}
+
+fn soundest<T>(
+    files: &impl Files,
+    numbers: &BTreeSet<u64>,
+    mut sound: impl FnMut(&[u8]) -> Option<T>,
+) -> Option<T> {
+    let readable = |n: &u64| files.read(&name(*n)).ok();
+    numbers.iter().rev().filter_map(readable).find_map(|bytes| sound(&bytes))
+}
+
 /// Keeps files in a folder, and the newest of them findable.
 pub struct Keeper<F> {
     files: F,
@@ -101,16 +122,18 @@
     }
 
     /// The newest file that can be read, and that `sound` makes something of.
-    pub fn newest<T>(&self, mut sound: impl FnMut(&[u8]) -> Option<T>) -> Option<T> {
-        let readable = |n: &u64| self.files.read(&name(*n)).ok();
-        self.numbers.iter().rev().filter_map(readable).find_map(|bytes| sound(&bytes))
+    pub fn newest<T>(&self, sound: impl FnMut(&[u8]) -> Option<T>) -> Option<T> {
+        soundest(&self.files, &self.numbers, sound)
     }
 
     /// Keeps this as the newest.
     ///
     /// # Errors
-    /// It is not kept, or may not survive; what was kept before is as it was.
+    /// It is not kept, or may not survive, or is over [`MOST_BYTES`]; what was kept before is as it was.
     pub fn put(&mut self, bytes: &[u8]) -> io::Result<()> {
+        if bytes.len() as u64 > MOST_BYTES {
+            return Err(io::Error::new(io::ErrorKind::FileTooLarge, "too large to be kept"));
+        }
         let next = self.numbers.last().map_or(1, |n| n.saturating_add(1));
         let made = self.files.replace(TEMPORARY, &name(next), bytes);
         if made.is_err() {
--- a/crates/knowledge/src/lib.rs
+++ b/crates/knowledge/src/lib.rs
@@ -17,7 +17,7 @@
 //!
 //! | section | bytes |
 //! | --- | --- |
-//! | kind: 1 pool, 2 nodes | 2 |
+//! | kind: 1 pool, 2 nodes, 3 time | 2 |
 //! | length of the content | 4 |
 //! | CRC-32C of kind, length and content | 4 |
 //! | content | |
@@ -29,6 +29,9 @@
 //! of their pool's name, and a list of up to 512 of: name; start time in milliseconds since 1970 or -1 (i64);
 //! failures in a row (u32); how long it is left alone (u64, microseconds); cold budget (f64); for each class a mean.
 //!
+//! A **time** section holds when it was written, in milliseconds since 1970 (u64). A file has one at its beginning, and
+//! what is told over a connection has none. Readers before it was added pass over it.
+//!
 //! A name is a length (u16, 256 at most) and UTF-8; a list a count (u16) and its entries; a mean is its sum and weight
 //! (f64) and age (u64, microseconds).
 #![warn(missing_docs)]
@@ -42,6 +45,9 @@
 /// A span of time in microseconds.
 pub type Micros = u64;
 
+/// Older than any that still says something, in microseconds: about a year.
+pub const VERY_OLD: Micros = 365 * 86_400_000_000;
+
 /// The version that [`write()`] writes.
 pub const VERSION: u16 = 1;
 /// The largest file that is read, in bytes.
@@ -58,16 +64,29 @@
 pub(crate) const MAGIC: &[u8; 8] = b"amberkno";
 pub(crate) const POOL: u16 = 1;
 pub(crate) const NODES: u16 = 2;
+pub(crate) const TIME: u16 = 3;
 /// Nodes in a section: so many are lost with one that is damaged.
 pub(crate) const IN_SECTION: usize = 512;
 
 /// All that was learned.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Snapshot {
+    /// When it was written, in milliseconds since 1970, by the clock of the machine that wrote it.
+    pub written_ms: Option<u64>,
     /// By pool.
     pub pools: Vec<Pool>,
 }
 
+impl Snapshot {
+    /// How old it is by a clock that reads `now_ms`. One that does not say when it was written, or that is of a time to
+    /// come, is very old: one of the clocks is wrong, and nobody knows by how much.
+    #[must_use]
+    pub fn age(&self, now_ms: u64) -> Micros {
+        let age = self.written_ms.and_then(|written| now_ms.checked_sub(written));
+        age.map_or(VERY_OLD, |ms| ms.saturating_mul(1000).min(VERY_OLD))
+    }
+}
+
 /// A sum over so many samples, as they stood so long ago.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Mean {
--- a/crates/knowledge/src/read.rs
+++ b/crates/knowledge/src/read.rs
@@ -1,7 +1,7 @@
 //! Bytes as a snapshot, as far as they are whole.
 
 use crate::{Mean, Node, Pool, Snapshot, MAGIC, MOST_BYTES, MOST_LIST, MOST_NAME, MOST_NODES, MOST_POOLS};
-use crate::{NODES, POOL, VERSION};
+use crate::{NODES, POOL, TIME, VERSION};
 
 /// Why nothing of it can be read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -84,6 +84,10 @@
                 faults.damaged += usize::from(!open);
                 snapshot.pools.extend(pool);
             }
+            TIME => {
+                snapshot.written_ms = Reader(content).u64();
+                faults.damaged += usize::from(snapshot.written_ms.is_none());
+            }
             NODES => match snapshot.pools.last_mut().filter(|_| open) {
                 Some(pool) => match Reader(content).nodes(&pool.name, pool.classes.len()) {
                     Some(nodes) => {
--- a/crates/knowledge/src/write.rs
+++ b/crates/knowledge/src/write.rs
@@ -1,7 +1,7 @@
 //! A snapshot as bytes.
 
 use crate::{Mean, Node, Pool, Snapshot, IN_SECTION, MAGIC, MOST_LIST, MOST_NAME, MOST_NODES, MOST_POOLS};
-use crate::{NODES, POOL, VERSION};
+use crate::{NODES, POOL, TIME, VERSION};
 
 /// Writes a snapshot. What is over a bound is left out.
 #[must_use]
@@ -12,6 +12,9 @@
     out.extend(1_u16.to_le_bytes());
     let sum = crc32c::crc32c(&out);
     out.extend(sum.to_le_bytes());
+    if let Some(written) = snapshot.written_ms {
+        section(&mut out, TIME, |to| to.extend(written.to_le_bytes()));
+    }
     for pool in snapshot.pools.iter().take(MOST_POOLS) {
         section(&mut out, POOL, |to| write_pool(pool, to));
         let nodes: Vec<&Node> = pool.nodes.iter().take(MOST_NODES).collect();
--- a/crates/knowledge/tests/format.rs
+++ b/crates/knowledge/tests/format.rs
@@ -1,6 +1,6 @@
 //! The format: what is written is read, damage costs a section, versions meet, and no bytes panic or take memory.
 
-use knowledge::{read, write, Faults, Mean, Node, Pool, Snapshot, Unreadable};
+use knowledge::{read, write, Faults, Mean, Node, Pool, Snapshot, Unreadable, VERY_OLD};
 use proptest::prelude::*;
 
 fn mean(random: &mut fastrand::Rng) -> Mean {
@@ -38,7 +38,8 @@
             nodes: (0..nodes).map(|_| node(r)).collect(),
         }
     };
-    Snapshot { pools: (0..pools).map(|_| pool(r)).collect() }
+    let written_ms = r.bool().then(|| r.u64(..));
+    Snapshot { written_ms, pools: (0..pools).map(|_| pool(r)).collect() }
 }
 
 #[test]
@@ -49,6 +50,16 @@
     }
 }
 
+#[test]
+fn a_clock_that_went_back_or_leapt_makes_it_very_old() {
+    let written = |written_ms| Snapshot { written_ms, pools: Vec::new() };
+    let now = 1_700_000_000_000;
+    assert_eq!(written(Some(now - 2500)).age(now), 2_500_000);
+    for strange in [None, Some(now + 1), Some(u64::MAX), Some(0)] {
+        assert_eq!(written(strange).age(now), VERY_OLD, "{strange:?}");
+    }
+}
+
 #[test]
 fn a_long_name_is_cut_and_its_nodes_stay_its_own() {
     let mut all = snapshot(7, 1, 3);
@@ -162,6 +173,7 @@
         classes: vec![Mean { sum: 12.5, weight: 5.0, age: 250_000 }],
     };
     let all = Snapshot {
+        written_ms: None,
         pools: vec![Pool {
             name: "pairings".to_owned(),
             classes: vec!["standings".to_owned()],
--- a/crates/proxy/src/clock.rs
+++ b/crates/proxy/src/clock.rs
@@ -31,6 +31,11 @@
     pub fn at_unix_ms(&self, ms: f64) -> Option<Micros> {
         (ms != 0.0).then(|| ((ms * 1000.0) as Micros).saturating_sub(self.unix_start))
     }
+
+    /// Unix milliseconds at a time of the clock.
+    pub fn unix_ms(&self, at: Micros) -> Option<u64> {
+        u64::try_from(at.checked_add(self.unix_start)? / 1000).ok()
+    }
 }
 
 impl Default for Clock {
@@ -49,6 +54,8 @@
         assert_eq!(clock.at_unix_ms(0.0), None, "0 is long ago");
         assert_eq!(clock.at_unix_ms(1_700_000_000_250.0), Some(250_000));
         assert_eq!(clock.at_unix_ms(1_699_999_999_000.0), Some(-1_000_000), "before this proxy's start");
+        assert_eq!(clock.unix_ms(-1_000_000), Some(1_699_999_999_000));
+        assert_eq!((clock.unix_ms(Micros::MAX), clock.unix_ms(Micros::MIN / 2)), (None, None));
         assert_eq!(clock.instant(250_000), clock.start + Duration::from_millis(250));
     }
 }
--- a/crates/proxy/src/driver.rs
+++ b/crates/proxy/src/driver.rs
@@ -142,6 +142,11 @@
                 let (took, report) = (self.clock.now() - sent, ended.report);
                 self.decide(Event::Probed { backend, outcome: ended.outcome, took, report });
             }
+            Input::Learn(told) => self.balancer.learn(self.clock.now(), &told),
+            Input::State(asked) => {
+                // Who asked may have gone.
+                let _ = asked.send(self.balancer.learned(self.clock.now()));
+            }
         }
     }
 
--- a/crates/proxy/src/inbox.rs
+++ b/crates/proxy/src/inbox.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 
 use decide::interface::*;
+use decide::learned::Learned;
 use tokio::sync::{mpsc, oneshot};
 
 use crate::exchange::{Answer, Attempts, Ended, Message};
@@ -24,6 +25,10 @@
         sent: Micros,
         ended: Ended,
     },
+    /// What others have learned, once there is a list.
+    Learn(Vec<Learned>),
+    /// Asks what was learned here.
+    State(oneshot::Sender<Learned>),
 }
 
 /// What the I/O tasks tell the driver by.
@@ -68,6 +73,18 @@
         self.tell(Input::Told(from, message));
     }
 
+    /// What others have learned.
+    pub fn learn(&self, told: Vec<Learned>) {
+        self.tell(Input::Learn(told));
+    }
+
+    /// What was learned here; nothing where the decisions panic over it.
+    pub async fn learned(&self) -> Option<Learned> {
+        let (sender, receiver) = oneshot::channel();
+        self.tell(Input::State(sender));
+        receiver.await.ok()
+    }
+
     pub(crate) fn tell(&self, input: Input) {
         // The driver ends only with the process.
         let _ = self.inputs.send(input);
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod log;
 mod mapping;
 pub mod membership;
+mod memory;
 mod once;
 pub mod own;
 pub mod peers;
--- a/crates/proxy/src/membership/roster.rs
+++ b/crates/proxy/src/membership/roster.rs
@@ -7,12 +7,15 @@
 
 use config::{Health, Host, HostList};
 use decide::interface::*;
+use decide::learned::Learned;
 use decide::settings::Names;
 use tokio::time::Instant;
 
 use crate::backend::Backends;
 use crate::clock::Clock;
 use crate::inbox::Handle;
+use crate::memory::figures::{self, Called};
+use crate::memory::Told;
 
 /// The name of a host that has gone is kept for this long: by then nothing is open that went there, so that
 /// whoever gets its id is not taken for it.
@@ -36,7 +39,42 @@
     pub heard: Rc<Cell<Instant>>,
     /// The version of the list.
     pub seq: Option<u64>,
-    ids: BTreeMap<String, Named>,
+    pub known: Rc<Known>,
+}
+
+/// What is known of a pool's nodes beside the list.
+#[derive(Default)]
+pub struct Known {
+    ids: RefCell<BTreeMap<String, Named>>,
+    /// What is to be learned once there is a list.
+    told: RefCell<Option<Told>>,
+}
+
+impl Known {
+    /// Something to learn, at once where there is a list.
+    pub fn teach(&self, told: Told, clock: Clock, names: &Names, handle: &Handle) {
+        if self.ids.borrow().is_empty() {
+            *self.told.borrow_mut() = Some(told);
+        } else {
+            self.learn(&told, clock, names, handle);
+        }
+    }
+
+    fn learn(&self, told: &Told, clock: Clock, names: &Names, handle: &Handle) {
+        let ids = self.ids.borrow();
+        let called = Called { names, ids: ids.iter().map(|(name, n)| (name.as_str(), n.id)).collect() };
+        let now = clock.now();
+        let started = |ms: u64| clock.at_unix_ms(ms as f64).map(|at| now.saturating_sub(at));
+        handle.learn(vec![figures::indexed(&told.pool, told.age(), &called, started)]);
+    }
+
+    /// What decisions state, under names.
+    pub fn named(&self, pool: &str, learned: &Learned, clock: Clock, names: &Names) -> knowledge::Pool {
+        let ids = self.ids.borrow();
+        let called = Called { names, ids: ids.iter().map(|(name, n)| (name.as_str(), n.id)).collect() };
+        let now = clock.now();
+        figures::named(pool, learned, &called, |up_for| clock.unix_ms(now.saturating_sub(up_for)))
+    }
 }
 
 impl Roster {
@@ -48,7 +86,7 @@
         ready: Rc<Cell<bool>>,
     ) -> Roster {
         let heard = Rc::new(Cell::new(Instant::now()));
-        Roster { clock, names, handle, backends, ready, heard, seq: None, ids: BTreeMap::new() }
+        Roster { clock, names, handle, backends, ready, heard, seq: None, known: Rc::default() }
     }
 
     /// Takes a list in, before anything else is sent.
@@ -65,14 +103,18 @@
         if scope != ListScope::Delta {
             let listed: BTreeSet<BackendId> = entries.iter().map(|e| e.id).collect();
             self.backends.retain(|id| listed.contains(&id));
-            for named in self.ids.values_mut().filter(|n| !listed.contains(&n.id)) {
+            for named in self.known.ids.borrow_mut().values_mut().filter(|n| !listed.contains(&n.id)) {
                 named.gone.get_or_insert_with(Instant::now);
             }
         }
         // Guards against growth: hosts that are replaced come under ever new names.
-        self.ids.retain(|_, named| named.gone.is_none_or(|at| at.elapsed() < NAME_KEPT));
+        self.known.ids.borrow_mut().retain(|_, named| named.gone.is_none_or(|at| at.elapsed() < NAME_KEPT));
         self.handle.backends(scope, entries);
         self.ready.set(true);
+        let told = if self.known.ids.borrow().is_empty() { None } else { self.known.told.take() };
+        if let Some(told) = told {
+            self.known.learn(&told, self.clock, &self.names.borrow(), &self.handle);
+        }
     }
 
     fn entry(&mut self, host: Host) -> BackendEntry {
@@ -98,17 +140,18 @@
     /// A host's id: the same at every proxy, because all of them cut their parts out of one order of ids.
     fn id(&mut self, host: String, health: Health) -> BackendId {
         let gone = matches!(health, Health::Deleted).then(Instant::now);
-        if let Some(named) = self.ids.get_mut(&host) {
+        let mut ids = self.known.ids.borrow_mut();
+        if let Some(named) = ids.get_mut(&host) {
             named.gone = gone.map(|now| named.gone.unwrap_or(now));
             return named.id;
         }
         // FNV-1a; a hash that is taken moves on to the next.
         let mut id = host.bytes().fold(0x811c_9dc5_u32, |h, b| (h ^ u32::from(b)).wrapping_mul(0x0100_0193));
-        while self.ids.values().any(|taken| taken.id.0 == id) {
+        while ids.values().any(|taken| taken.id.0 == id) {
             id = id.wrapping_add(1);
         }
         let id = BackendId(id);
-        self.ids.insert(host, Named { id, gone });
+        ids.insert(host, Named { id, gone });
         id
     }
 }
--- a/crates/proxy/src/own.rs
+++ b/crates/proxy/src/own.rs
@@ -15,6 +15,7 @@
 use crate::gate::{one, Connection, Router, Turned, Way, TENANT};
 use crate::log::say;
 use crate::mapping;
+use crate::memory::{Memory, Past};
 use crate::once::Table;
 use crate::process::{self, Doors, Signals};
 use crate::routing::{route, Known, NewIds};
@@ -50,6 +51,17 @@
     let (callers, nodes) = config.sockets_cut();
     let keys = Table::new(config.keys, clock);
     let current = Rc::new(RefCell::new(Rc::new(Snapshot::start(Arc::new(config), nodes, None, clock, seed))));
+    let memory = current.borrow().config.knowledge.as_ref().map(|knowledge| {
+        if let Some(past) = Past::read(&knowledge.folder) {
+            current.borrow().teach(&past);
+        }
+        Rc::new(Memory::start(knowledge))
+    });
+    let keeping = memory.clone().map(|memory| {
+        let current = Rc::clone(&current);
+        spawn_local(async move { memory.keep(async || learned(&current).await).await })
+    });
+    let ending = Rc::clone(&current);
     let open = doors.open(callers, |listener, place| {
         let (current, keys) = (Rc::clone(&current), keys.clone());
         Rc::new(Own { current, listener, new_ids: NewIds::new(seed, place), keys })
@@ -65,9 +77,18 @@
     signals.end().await;
     reloading.abort();
     open.close().await;
+    if let (Some(memory), Some(keeping)) = (memory, keeping) {
+        keeping.abort();
+        memory.end(learned(&ending).await).await;
+    }
     Ok(())
 }
 
+async fn learned(current: &RefCell<Rc<Snapshot>>) -> knowledge::Snapshot {
+    let snapshot = Rc::clone(&current.borrow());
+    snapshot.learned().await
+}
+
 /// Puts another configuration in place of the current one, or says in a line why that one stays.
 fn swap(current: &RefCell<Rc<Snapshot>>, reload: &Reload, clock: Clock, seed: u64) {
     let before = Rc::clone(&current.borrow());
@@ -94,6 +115,8 @@
         Some("server.listen")
     } else if before.sockets != after.sockets {
         Some("server.sockets")
+    } else if before.knowledge != after.knowledge {
+        Some("knowledge")
     } else {
         None
     }
--- a/crates/proxy/src/pool.rs
+++ b/crates/proxy/src/pool.rs
@@ -17,7 +17,8 @@
 use crate::driver::Driver;
 use crate::inbox::Handle;
 use crate::log::say;
-use crate::membership::{Discovery, FileWatch, Roster};
+use crate::membership::{Discovery, FileWatch, Known, Roster};
+use crate::memory::Told;
 
 /// A source that says nothing for this long is told of, and again each time that doubles.
 const SILENT: Duration = Duration::from_secs(10);
@@ -27,7 +28,9 @@
     pub name: String,
     pub handle: Handle,
     pub backends: Rc<Backends>,
+    clock: Clock,
     names: Rc<RefCell<Names>>,
+    known: Rc<Known>,
     ready: Rc<Cell<bool>>,
     /// Where the configuration lists its nodes.
     listed: Option<RefCell<Roster>>,
@@ -71,6 +74,7 @@
         let mut tasks = vec![spawn_local(driver.run()), spawn_local(async move { sweeper.sweep().await })];
         let mut listed = None;
         let heard = Rc::clone(&roster.heard);
+        let known = Rc::clone(&roster.known);
         match &pool.source {
             Source::List(nodes) => {
                 let mut roster = roster;
@@ -95,7 +99,7 @@
             tasks.push(spawn_local(watch_age(pool.name.clone(), heard)));
         }
         let tasks = tasks.into_iter().map(|t| t.abort_handle()).collect();
-        Pool { name: pool.name.clone(), handle, backends, names, ready, listed, tasks }
+        Pool { name: pool.name.clone(), handle, backends, clock, names, known, ready, listed, tasks }
     }
 
     /// Goes on under another configuration that keeps it.
@@ -106,6 +110,17 @@
         }
     }
 
+    /// What others have learned of it, or a process before.
+    pub fn teach(&self, told: Told) {
+        self.known.teach(told, self.clock, &self.names.borrow(), &self.handle);
+    }
+
+    /// What it has learned.
+    pub async fn learned(&self) -> Option<knowledge::Pool> {
+        let learned = self.handle.learned().await?;
+        Some(self.known.named(&self.name, &learned, self.clock, &self.names.borrow()))
+    }
+
     /// No configuration has it any more; what it holds open ends by itself.
     pub fn retire(&self) {
         self.backends.retire();
--- a/crates/proxy/src/snapshot.rs
+++ b/crates/proxy/src/snapshot.rs
@@ -11,6 +11,7 @@
 use crate::clock::Clock;
 use crate::gate::{Course, Next};
 use crate::inbox::Handle;
+use crate::memory::Past;
 use crate::pool::Pool;
 
 /// A configuration that serves.
@@ -69,6 +70,24 @@
         Snapshot { number, config, methods, pools, allowed }
     }
 
+    /// What a process before has learned.
+    pub fn teach(&self, past: &Past) {
+        for pool in &self.pools {
+            if let Some(told) = past.pool(&pool.name) {
+                pool.teach(told);
+            }
+        }
+    }
+
+    /// What its pools have learned.
+    pub async fn learned(&self) -> knowledge::Snapshot {
+        let mut learned = knowledge::Snapshot::default();
+        for pool in &self.pools {
+            learned.pools.extend(pool.learned().await);
+        }
+        learned
+    }
+
     /// No configuration has its pools any more; what they hold open ends by itself.
     pub fn retire(&self) {
         self.pools.iter().for_each(|p| p.retire());
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -54,6 +54,12 @@
         (seed("a", "a example"), String::new(), 2, "\"a example\" is no host"),
         (seed("a", "a.example"), "[[pool]]\nname = \"p\"\nfile = \"x\"\n".to_owned(), 2, "no `file`"),
         (seed("a", "a.example"), "[server]\n".to_owned(), 2, "`server` is the operator's"),
+        (
+            seed("a", "a.example"),
+            "[knowledge]\nfolder = \"x\"\n".to_owned(),
+            2,
+            "`knowledge` is the operator's",
+        ),
         (
             seed("a", "a.example"),
             "[[expect]]\nname = \"x\"\nwhen = { path = \"/\" }\nthen = { refused = 503 }\n".to_owned(),
--- a/tests/stubs/mod.rs
+++ b/tests/stubs/mod.rs
@@ -118,8 +118,8 @@
         let mut line = String::new();
         errors.read_line(&mut line).expect("text");
         let log = Arc::<Mutex<String>>::default();
-        // What a hosted service tells of its state comes first.
-        while line.starts_with("version ") || line.starts_with("state: ") {
+        // What is told of a state comes first.
+        while ["version ", "state: ", "knowledge: "].iter().any(|word| line.starts_with(word)) {
             log.lock().expect("unpoisoned").push_str(&line);
             line.clear();
             errors.read_line(&mut line).expect("text");
