--- a/crates/proxy/src/membership/roster.rs
+++ b/crates/proxy/src/membership/roster.rs
@@ -27,6 +27,10 @@
     gone: Option<Instant>,
 }
 
+fn called<'a>(ids: &'a BTreeMap<String, Named>, names: &'a Names) -> Called<'a> {
+    Called { names, ids: ids.iter().map(|(name, named)| (name.as_str(), named.id)).collect() }
+}
+
 /// Takes lists in, whatever their source, and tells the decisions and the connections of them.
 pub struct Roster {
     pub clock: Clock,
@@ -53,16 +57,18 @@
 impl Known {
     /// Something to learn, at once where there is a list.
     pub fn teach(&self, told: Told, clock: Clock, names: &Names, handle: &Handle) {
-        if self.ids.borrow().is_empty() {
-            *self.told.borrow_mut() = Some(told);
-        } else {
-            self.learn(&told, clock, names, handle);
-        }
+        *self.told.borrow_mut() = Some(told);
+        self.catch_up(clock, names, handle);
     }
 
-    fn learn(&self, told: &Told, clock: Clock, names: &Names, handle: &Handle) {
+    /// Learns what waits for a list, if there is one by now.
+    fn catch_up(&self, clock: Clock, names: &Names, handle: &Handle) {
         let ids = self.ids.borrow();
-        let called = Called { names, ids: ids.iter().map(|(name, n)| (name.as_str(), n.id)).collect() };
+        if ids.is_empty() {
+            return;
+        }
+        let Some(told) = self.told.take() else { return };
+        let called = called(&ids, names);
         let now = clock.now();
         let started = |ms: u64| clock.at_unix_ms(ms as f64).map(|at| now.saturating_sub(at));
         handle.learn(vec![figures::indexed(&told.pool, told.age(), &called, started)]);
@@ -71,9 +77,10 @@
     /// What decisions state, under names.
     pub fn named(&self, pool: &str, learned: &Learned, clock: Clock, names: &Names) -> knowledge::Pool {
         let ids = self.ids.borrow();
-        let called = Called { names, ids: ids.iter().map(|(name, n)| (name.as_str(), n.id)).collect() };
         let now = clock.now();
-        figures::named(pool, learned, &called, |up_for| clock.unix_ms(now.saturating_sub(up_for)))
+        figures::named(pool, learned, &called(&ids, names), |up_for| {
+            clock.unix_ms(now.saturating_sub(up_for))
+        })
     }
 }
 
@@ -111,10 +118,7 @@
         self.known.ids.borrow_mut().retain(|_, named| named.gone.is_none_or(|at| at.elapsed() < NAME_KEPT));
         self.handle.backends(scope, entries);
         self.ready.set(true);
-        let told = if self.known.ids.borrow().is_empty() { None } else { self.known.told.take() };
-        if let Some(told) = told {
-            self.known.learn(&told, self.clock, &self.names.borrow(), &self.handle);
-        }
+        self.known.catch_up(self.clock, &self.names.borrow(), &self.handle);
     }
 
     fn entry(&mut self, host: Host) -> BackendEntry {
