One of two proxies that ends keeps connections free, as an only one did

The proxies' own lines give the order: the second is told to end at 16.2 s, the first listens again at 17.6 s. In between, callers have the second's connections and nothing else, and leave it for good once one of them finds all of them busy.

Wrong was `balancers == 1` in `last_ways_in` and in `is_alone`: restarts in turn overlap, so of two the other may be away as well; of three one is there. Both now ask `Settings::may_end_alone`.

Where a third is up the rule does not act.

--- a/crates/decide/src/choice.rs
+++ b/crates/decide/src/choice.rs
@@ -533,10 +533,11 @@
     }
 
     /// Is this call to leave its connection to the next one? Guards against callers that find none free while
-    /// the only balancer ends: they take it for dead and leave the others unused, too.
+    /// it ends and all others are away: they take it for dead and leave the others unused, too. Does harm
+    /// where another is there after all, which would have taken this call.
     fn last_ways_in(&self, r: &NewRequest, row: usize) -> bool {
         let kept = WAYS_KEPT + self.table.len() - 1 - row;
-        self.s.balancers == 1 && r.ways_in.is_some_and(|w| w.free < kept.min(w.all / WAYS_KEPT_OF))
+        self.s.may_end_alone() && r.ways_in.is_some_and(|w| w.free < kept.min(w.all / WAYS_KEPT_OF))
     }
 
     /// Does a call of this row meet the threshold under the cursor? Where a balancer's own T1 is too small
--- a/crates/decide/src/interface.rs
+++ b/crates/decide/src/interface.rs
@@ -130,8 +130,18 @@
 /// Times outside of this, some 35 years either way, are cut off.
 pub const TIME_LIMIT: Micros = 1 << 50;
 const MOST_BALANCERS: u32 = 1_000_000;
+/// So many balancers of a tier are away at once while they are restarted one after another: the next is told to end
+/// before the one before is back and has been noticed.
+const AWAY_AT_ONCE: u32 = 2;
 
 impl Settings {
+    /// May the callers of this balancer, while it ends, have nowhere else to go? Balancers do not know of each other's
+    /// restarts, so this goes by their number alone.
+    #[must_use]
+    pub fn may_end_alone(&self) -> bool {
+        self.balancers <= AWAY_AT_ONCE
+    }
+
     /// Says what makes these settings unusable, if anything does. A balancer takes any settings without a
     /// panic; with unusable ones it refuses or decides badly.
     ///
--- a/crates/decide/tests/decisions.rs
+++ b/crates/decide/tests/decisions.rs
@@ -197,9 +197,10 @@
     assert!(admitted[0] > 0 && admitted[1] > admitted[0], "{admitted:?}");
 }
 
-/// A caller that finds no connection free while the only balancer ends takes it for dead, and leaves all of them.
+/// A caller that finds no connection free while a balancer ends, and no other is there, takes it for dead, and leaves
+/// all of them. Of two, the other may be restarting as well; of three that are restarted in turn, one is there.
 #[test]
-fn the_last_connections_of_an_only_balancer_that_ends_stay_free_and_longest_for_high_worth() {
+fn the_last_connections_of_a_balancer_that_ends_stay_free_and_longest_for_high_worth() {
     let class = |gain| Class { gain, ..settings().classes[0].clone() };
     let two = Settings { classes: vec![class(1.0), class(3.0)], retry_after: true, ..settings() };
     let two = Settings { max_retry_after: 90_000, ..two };
@@ -220,7 +221,8 @@
     let advice = Action::Refuse { request: RequestId(1), retry_after: 90_000 };
     assert_eq!(answer(&two, 1, none_free), [advice]);
     // Where callers may go elsewhere, or open more, each connection serves.
-    assert!(!refused(&answer(&Settings { balancers: 2, ..two.clone() }, 1, none_free)));
+    assert!(refused(&answer(&Settings { balancers: 2, ..two.clone() }, 1, none_free)));
+    assert!(!refused(&answer(&Settings { balancers: 3, ..two.clone() }, 1, none_free)));
     assert!(!refused(&answer(&two, 1, None)));
 }
 
--- a/crates/proxy/src/gate.rs
+++ b/crates/proxy/src/gate.rs
@@ -46,8 +46,8 @@
         Duration::ZERO
     }
 
-    /// Have callers nowhere else to go while this proxy ends?
-    fn is_alone(&self) -> bool {
+    /// May callers have nowhere else to go while this proxy ends?
+    fn may_end_alone(&self) -> bool {
         false
     }
 
@@ -187,8 +187,8 @@
         Duration::from_micros(longest.unwrap_or_default().max(0) as u64)
     }
 
-    fn is_alone(&self) -> bool {
-        self.settings.balancers == 1
+    fn may_end_alone(&self) -> bool {
+        self.settings.may_end_alone()
     }
 
     fn whole_seconds(&self) -> bool {
--- a/crates/proxy/src/server/mod.rs
+++ b/crates/proxy/src/server/mod.rs
@@ -113,7 +113,7 @@
     // Guards against a time with no proxy at all: while others of the tier restart too, or die, callers can
     // often go nowhere else. Who meets a closed port takes the proxy for dead and leaves the connections as
     // well. Does harm where the kill comes sooner than promised: what it finds open is lost.
-    let last = if callers.gate.router.is_alone() { LAST_ANSWERS_ALONE } else { LAST_ANSWERS };
+    let last = if callers.gate.router.may_end_alone() { LAST_ANSWERS_ALONE } else { LAST_ANSWERS };
     let serving = STILL_ACCEPTING.max(kill.saturating_sub(last));
     say(format_args!(
         "told to end: serving on for {:.1} s, on {} connections",
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -683,8 +683,20 @@
 
 #[test]
 fn callers_of_the_only_proxy_told_to_end_find_a_connection_free() {
+    callers_find_a_connection_free(1);
+}
+
+/// In a rolling restart the second of two is told to end before the first is back.
+#[test]
+fn callers_of_one_of_two_proxies_told_to_end_find_a_connection_free() {
+    callers_find_a_connection_free(2);
+}
+
+fn callers_find_a_connection_free(balancers: usize) {
     let silent: Vec<Backend> = (0..4).map(|_| Backend::new([Deed::Silence])).collect();
-    let mut proxy = Setup::of(&silent.iter().collect::<Vec<_>>()).start();
+    let mut setup = Setup::of(&silent.iter().collect::<Vec<_>>());
+    setup.balancers = balancers;
+    let mut proxy = setup.start();
     let mut callers: Vec<Caller> = (0..20).map(|_| proxy.caller()).collect();
     for caller in &mut callers {
         assert_eq!(caller.ask("GET /healthz HTTP/1.1\r\nHost: n0\r\n\r\n").status(), 200);
--- a/tests/stubs/mod.rs
+++ b/tests/stubs/mod.rs
@@ -18,6 +18,8 @@
     pub sockets: u32,
     pub keepalive_ms: u32,
     pub aim_ms: u32,
+    /// Proxies of the tier, where `peers` does not name them.
+    pub balancers: usize,
     /// The most descriptors that the kernel lets the process have; None leaves that as it is.
     pub descriptors: Option<u32>,
     /// Where messages arrive, and the proxies of the tier; this one is the first.
@@ -32,6 +34,7 @@
             sockets: 1024,
             keepalive_ms: 60_000,
             aim_ms: 10_000,
+            balancers: 1,
             descriptors: None,
             peers: None,
         }
@@ -49,7 +52,7 @@
                 let quoted: Vec<_> = all.iter().map(|a| format!("\"{a}\"")).collect();
                 (all.len(), format!(r#""peer_listen":"{listen}","peers":[{}],"#, quoted.join(",")))
             }
-            None => (1, String::new()),
+            None => (self.balancers, String::new()),
         };
         format!(
             r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{discovery}","seed":"8c1f30d27a5be964",
