Reported use moves no cursor while under half of T1 is in flight

The figures that it guards against are reports: seconds old, noisy, and of other callers' work; own answers are none of that. So the part of T1 is 0.45 for reports and 0.25 as before for own answers (`Balancer::load` now says which it went by).

--- a/crates/decide/src/choice.rs
+++ b/crates/decide/src/choice.rs
@@ -38,8 +38,10 @@
 const TARGET_LATENCY: [f64; 2] = [0.4, 0.6];
 /// Periods without figures for which the cursor holds before it steps left.
 const HOLD_PERIODS: u32 = 4;
-/// With less than this part of T1 in flight the cursor steps left, whatever the figures say.
-const DRAINED: f64 = 0.25;
+/// With less than this part of T1 in flight the cursor steps left, whatever the figures say: where they are
+/// own answers, and where they are what servers report, which is later, noisier, and of others' calls too.
+/// Higher refuses less for a crowd long gone, and lets a new one grow unseen.
+const DRAINED: [f64; 2] = [0.25, 0.45];
 /// Further attempts per request: more saves answers, and feeds an overload.
 const RETRY_SHARE: f64 = 0.15;
 /// A call with less than this part of what its class takes left is refused at once: guards against work that
@@ -443,12 +445,13 @@
             self.t1 = (at_aim * T1_OF_AIM).max(held);
         }
         let before = self.cursor;
-        let load = self.load(now);
+        let (load, reported) = self.load(now);
         self.silent_periods = if load.is_some() { 0 } else { self.silent_periods + 1 };
         // Guards against answers that come late from a crowd long gone, or from one odd server, and turn away
         // all that the others could serve. Does harm where a few calls alone are more than a pool can do.
         // A group that talks hears figures of more than its own calls.
-        let drained = self.peers.is_empty() && f64::from(self.inflight) < DRAINED * self.t1;
+        let few = DRAINED[usize::from(reported)] * self.t1;
+        let drained = self.peers.is_empty() && f64::from(self.inflight) < few;
         self.cursor = match load {
             Some(load) if load > 1.0 && !drained => (before + 1).min(self.table[0].len() - 1),
             // Late figures: hold. Missing ones: step left, or a cursor that refuses all would stay for good.
@@ -463,8 +466,9 @@
         (self.answers, self.turned_away) = (0.0, 0.0);
     }
 
-    /// This period's load over its target, or nothing where no figures came.
-    fn load(&mut self, now: Micros) -> Option<f64> {
+    /// This period's load over its target, or nothing where no figures came; and whether it is what servers
+    /// report.
+    fn load(&mut self, now: Micros) -> (Option<f64>, bool) {
         let recent = now - 2 * self.period;
         let heard = self.ready.iter().map(|&b| &self.backends[b]).filter(|b| b.report_at >= recent);
         let mut used: Vec<f64> = heard.filter_map(|b| b.utilisation).collect();
@@ -490,9 +494,9 @@
             x / (base + target * (1.0 - base)) + away
         });
         match (by_use, by_latency) {
-            (Some(u), Some(l)) if !deepest => Some(u.max(l)),
-            (Some(u), _) => Some(u),
-            (None, l) => l,
+            (Some(u), Some(l)) if !deepest && l >= u => (Some(l), false),
+            (Some(u), _) => (Some(u), true),
+            (None, l) => (l, false),
         }
     }
 
--- a/crates/decide/tests/decisions.rs
+++ b/crates/decide/tests/decisions.rs
@@ -467,6 +467,26 @@
     assert!(refused(&proxy.request(0).1), "all is late");
 }
 
+/// What servers report is late and of others' calls too. With little of its own in flight a balancer that goes by it
+/// refuses what would be served; with much, a report is all that tells of a crowd.
+#[test]
+fn reported_use_moves_no_cursor_while_little_is_in_flight() {
+    let shed = |held: usize| {
+        // A first T1 of 40, and one class: its row begins to fall at the tenth slot.
+        let mut proxy = Proxy::new(settings(), &pool(4));
+        (0..held).for_each(|_| drop(proxy.request(0)));
+        for _ in 0..20 {
+            let report = Some(Report { utilisation: Some(0.99), ..Report::default() });
+            let probed = Event::Probed { backend: BackendId(0), outcome: Outcome::Ok, took: 1000, report };
+            proxy.tell(probed);
+            proxy.wait(125_000);
+        }
+        refused(&proxy.request(0).1)
+    };
+    assert_eq!([shed(12), shed(17)], [false, false], "under nine twentieths of T1");
+    assert!(shed(24), "a report is believed");
+}
+
 #[test]
 fn hundreds_of_balancers_do_not_each_save_up_a_whole_call_for_a_cold_server() {
     // A warm server carries two calls a second of each of 300 balancers; the cold one is idle for a while,
