Test that repeats and what exceeds a tenant's share stand with the lowest worth

The table of the protocol had no test for X-Retried and X-Tenant-Id: the one named there plays neither. This one fails where Balancer::row stops looking at either.

--- a/crates/decide/tests/decisions.rs
+++ b/crates/decide/tests/decisions.rs
@@ -197,6 +197,33 @@
     assert!(admitted[0] > 0 && admitted[1] > admitted[0], "{admitted:?}");
 }
 
+#[test]
+fn repeats_and_what_exceeds_a_tenants_share_stand_with_the_lowest_worth() {
+    let class = |gain| Class { gain, ..settings().classes[0].clone() };
+    let tenants = vec![Tenant { quota_per_s: 10.0 }; 2];
+    let settings = Settings { classes: vec![class(1.0), class(3.0)], tenants, ..settings() };
+    let mut proxy = Proxy::new(settings, &pool(2));
+    let mut next = 1000;
+    let mut ask = |proxy: &mut Proxy, tenant, is_retry| {
+        next += 1;
+        let id = RequestId(next);
+        let new =
+            NewRequest { id, class: 1, tenant, is_retry, time_left: 2_000_000, ..NewRequest::default() };
+        (id, proxy.tell(Event::Request(new)))
+    };
+    // Thirty at once, where twenty in two seconds are the first tenant's share, and some more are let pass.
+    for _ in 0..30 {
+        let (id, actions) = ask(&mut proxy, Some(0), false);
+        sent(&actions).into_iter().for_each(|b| drop(proxy.outcome(id, 0, b, Outcome::Ok, 1000)));
+    }
+    // A first T1 of 20, of which the lowest row has 16.
+    let held = (0..16).filter(|_| !refused(&ask(&mut proxy, None, false).1)).count();
+    assert_eq!(held, 16);
+    assert!(refused(&ask(&mut proxy, None, true).1), "a repeat");
+    assert!(refused(&ask(&mut proxy, Some(0), false).1), "over its share");
+    assert!(!refused(&ask(&mut proxy, Some(1), false).1), "within its share");
+}
+
 /// A caller that finds no connection free while a balancer ends, and no other is there, takes it for dead, and leaves
 /// all of them. Of two, the other may be restarting as well; of three that are restarted in turn, one is there.
 #[test]
