Make up for broken answers of discovery at once; send nothing by an overdue list

When discovery is asked is now a pure state machine (crates/members). What may have been told and was not heard is asked for again at once, beside the silent call; if nothing has come when the grace for drains ends, nothing new is sent until an answer has, for 40 s at most. An outage that discovery owns up to holds nothing. Waits are drawn over 2 to 10 s, first questions spread by the size of the fleet, pauses after refusals are longer, so that the fleet does not swamp discovery.

--- a/crates/decide/src/choice.rs
+++ b/crates/decide/src/choice.rs
@@ -71,6 +71,8 @@
 /// How much the part of calls lost in another zone weighs in the ranking of its servers.
 const ZONE_LOSS_WEIGHT: f64 = 30.0;
 
+/// Balancers of a tier that discovery is usually built for.
+const USUAL_FLEET: i64 = 8;
 /// A figure on load that balancers tell each other counts these parts of an aim, up to 253 of them.
 const FIGURES_PER_AIM: f64 = 64.0;
 /// The figures of a call that was turned away as full, and of one that got an error.
@@ -269,7 +271,11 @@
             // Out of step with the other instances: cursors that move together on late figures swing.
             out.push(Action::Timer { at: now + self.rng.i64(1..=self.period), token: PERIOD });
             if self.s.ask_discovery {
-                let spread = (self.s.must_ask_in / 8).max(1);
+                // The more there are, the longer discovery takes to answer each: guards against its being swamped
+                // by a fleet that starts, and turning calls away for long after. Does harm where lists are old.
+                let all =
+                    i64::from(self.s.balancers).max(USUAL_FLEET) * self.s.must_ask_in / (8 * USUAL_FLEET);
+                let spread = all.min(self.s.must_ask_in * 3 / 4).max(1);
                 out.push(Action::Timer { at: now + self.rng.i64(0..spread), token: ASK });
             }
         }
@@ -380,7 +386,7 @@
     /// Asks for the list, and again later should that fail: sooner than a silent instance is taken as told.
     fn ask(&mut self, out: &mut Out) {
         self.subscribed = true;
-        self.ask_wait = (self.ask_wait * 2).clamp(self.s.must_ask_in / 10, self.s.must_ask_in / 2).max(1);
+        self.ask_wait = (self.ask_wait * 2).clamp(self.s.must_ask_in / 5, self.s.must_ask_in).max(1);
         out.push(Action::Subscribe);
     }
 
--- a/crates/proxy/src/backend/mod.rs
+++ b/crates/proxy/src/backend/mod.rs
@@ -34,7 +34,7 @@
 /// closes it, so that no request crosses the closing.
 const KEPT_IDLE: f64 = 0.75;
 /// The last part of the drain grace in which nothing is begun.
-const DRAIN_MARGIN: Duration = Duration::from_millis(150);
+pub const DRAIN_MARGIN: Duration = Duration::from_millis(150);
 /// How long a probe may take once it is connected.
 const PROBE_TIME: Duration = Duration::from_secs(1);
 
@@ -60,6 +60,10 @@
     retired: Cell<bool>,
     links: Rc<Cell<usize>>,
     all: RefCell<BTreeMap<BackendId, Backend>>,
+    /// From when until when nothing new is sent to any of them: the list is older than it may be.
+    held: Cell<Option<(Instant, Instant)>>,
+    /// A request has met that.
+    said_held: Cell<bool>,
     complained_of_links: Cell<bool>,
     complained_of_reports: Cell<bool>,
 }
@@ -131,6 +135,8 @@
             retired: Cell::new(false),
             links: Rc::default(),
             all: RefCell::default(),
+            held: Cell::new(None),
+            said_held: Cell::new(false),
             complained_of_links: Cell::new(false),
             complained_of_reports: Cell::new(false),
         }
@@ -333,8 +339,28 @@
         oldest.map(|((_, place), shared)| shared.remove(place)).is_some()
     }
 
+    /// From when until when nothing new may be sent to any backend, as the list is older than it may be.
+    pub fn hold(&self, held: Option<(Instant, Instant)>) {
+        self.held.set(held);
+        if held.is_none() && self.said_held.replace(false) {
+            say(format_args!("sending again: the list is up to date"));
+        }
+    }
+
+    fn is_held(&self) -> bool {
+        let now = Instant::now();
+        let held = self.held.get().is_some_and(|(from, until)| from <= now && now < until);
+        if held && !self.said_held.replace(true) {
+            say(format_args!("sending nothing: discovery may have told of a drain that was not heard"));
+        }
+        held
+    }
+
     /// May something still be sent there?
     fn may_write(&self, id: BackendId) -> bool {
+        if self.is_held() {
+            return false;
+        }
         let grace = self.drain_grace();
         let left = self.all.borrow().get(&id).map(|b| b.left);
         left.is_some_and(|left| left.is_none_or(|at| at.elapsed() + DRAIN_MARGIN < grace))
@@ -370,6 +396,10 @@
 
     async fn exchange(&self, order: &Order, written: &Cell<bool>) -> (Ended, Option<Link>) {
         loop {
+            // A connection costs the backend work.
+            if self.is_held() {
+                return (Outcome::Moot.into(), None);
+            }
             let idle = self.idle(order.backend);
             let fresh = idle.is_none();
             let mut link = match idle {
--- a/crates/proxy/src/membership/discovery.rs
+++ b/crates/proxy/src/membership/discovery.rs
@@ -1,5 +1,7 @@
-//! Discovery: the list of backends as known at the start, and the watch that keeps it up to date.
+//! Discovery over HTTP: makes the calls that the watch of `members` asks for, and takes in what they bring.
 
+use std::collections::BTreeMap;
+use std::future::pending;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -8,29 +10,24 @@
 use config::HostList;
 use decide::interface::*;
 use http_body_util::{BodyExt, Empty, Limited};
+use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::{HeaderValue, HOST};
-use hyper::{Request, StatusCode};
+use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
+use members::{Action, CallId, Event, Policy, Watch};
 use tokio::net::TcpStream;
-use tokio::sync::{watch, Notify};
-use tokio::task::JoinSet;
-use tokio::time::{sleep, sleep_until, timeout, Instant};
+use tokio::sync::{mpsc, watch, Notify};
+use tokio::task::{AbortHandle, JoinSet};
+use tokio::time::{sleep, sleep_until, timeout};
 
 use crate::guard::caught;
 use crate::log::say;
 use crate::membership::Roster;
 use crate::socket::Socket;
 
-/// How long a watch waits for news. Guards against a discovery that says nothing, cut off or hung, behind an
-/// open connection: until the watch is given up, requests go to backends that have gone, and new ones stay idle.
-/// Shorter costs discovery a call each time and proxy, which does harm where it has many proxies and little room.
-const WAIT: Duration = Duration::from_secs(5);
-/// An answer that has not come by then, after the wait, will not come.
-const LATE: Duration = Duration::from_millis(1500);
-/// One without news that ends sooner is not followed by the next at once: guards against a discovery that does
-/// not wait. Far under the 200 ms within which the next call goes on with the same watch.
-const SHORTEST_WATCH: Duration = Duration::from_millis(100);
+/// A connection that is not made by then will not be.
+const CONNECT: Duration = Duration::from_millis(1500);
 /// Pause before asking again where lists are pushed and the decisions do not ask.
 const PUSHED_PAUSE: Duration = Duration::from_millis(250);
 /// The largest list that is read, in bytes.
@@ -43,103 +40,216 @@
     pub roster: Roster,
     /// Told when the decisions ask for the list; None where lists are pushed.
     pub subscribe: Option<Rc<Notify>>,
+    pub policy: Policy,
+    /// Feeds the draws of its watch.
+    pub seed: u64,
+    /// A malformed list has been told of.
     pub complained: bool,
 }
 
-/// Waits for another address. False once there will be none.
-async fn changed(address: &mut watch::Receiver<SocketAddr>) -> bool {
-    address.changed().await.is_ok()
+/// A connection to discovery. Dropping it closes it.
+struct Connection {
+    sender: SendRequest<Empty<Bytes>>,
+    _task: JoinSet<hyper::Result<()>>,
+}
+
+/// What a call tells while it is out.
+enum Told {
+    Heard,
+    Answered(HostList, Connection),
+    Malformed(String),
+    Broke,
+    Failed,
+}
+
+/// The calls that are out.
+struct Calls {
+    tasks: JoinSet<()>,
+    handles: BTreeMap<CallId, AbortHandle>,
+    told: mpsc::UnboundedSender<(CallId, Told)>,
+    /// One that an answer has come over, for the next call.
+    spare: Option<Connection>,
+}
+
+impl Calls {
+    fn ask(&mut self, id: CallId, address: SocketAddr, path: String) {
+        let (told, spare) = (self.told.clone(), self.spare.take());
+        let task = self.tasks.spawn_local(async move {
+            let tell = |what| {
+                // Who listens has gone with the pool.
+                let _ = told.send((id, what));
+            };
+            let answer = caught(call(address, &path, spare, || tell(Told::Heard))).await;
+            tell(answer.unwrap_or(Told::Failed));
+        });
+        self.handles.insert(id, task);
+    }
+
+    fn drop(&mut self, id: CallId) {
+        if let Some(task) = self.handles.remove(&id) {
+            task.abort();
+        }
+        self.tidy();
+    }
+
+    fn end(&mut self, id: CallId) {
+        self.handles.remove(&id);
+        self.tidy();
+    }
+
+    fn tidy(&mut self) {
+        while self.tasks.try_join_next().is_some() {}
+    }
+}
+
+/// Waits for another address, for ever once there will be none.
+async fn changed(address: &mut watch::Receiver<SocketAddr>) {
+    if address.changed().await.is_err() {
+        pending::<()>().await;
+    }
 }
 
 impl Discovery {
-    /// Hands over the list as last known, then watches whenever that is asked for. A failure ends a watch and
-    /// is told; asking again is up to the decisions.
+    /// Hands over the list as last known, then watches whenever that is asked for. That a watch has ended is told; asking
+    /// again is up to the decisions.
     pub async fn run(mut self, known: Option<HostList>) {
+        let listed = known.is_some();
         if let Some(list) = known {
             self.roster.apply(list, ListScope::Cached);
         } else {
             self.roster.handle.backends(ListScope::Cached, Vec::new());
         }
-        let mut address = self.address.clone();
+        let mut watch = Watch::new(self.policy, listed, self.seed);
+        let (told, mut tells) = mpsc::unbounded_channel();
+        let mut calls = Calls { tasks: JoinSet::new(), handles: BTreeMap::new(), told, spare: None };
+        let (clock, mut address) = (self.roster.clock, self.address.clone());
         loop {
             let asked = async {
                 match &self.subscribe {
+                    _ if watch.is_on() => pending().await,
                     Some(asked) => asked.notified().await,
                     None => sleep(PUSHED_PAUSE).await,
                 }
             };
-            let mut moved = tokio::select! {
-                () = asked => false,
-                true = changed(&mut address) => true,
+            let wake = async {
+                match watch.wake_at() {
+                    Some(at) => sleep_until(clock.instant(at)).await,
+                    None => pending().await,
+                }
             };
-            loop {
-                if moved {
-                    // The new one may count its versions in its own way: only a whole list says where it is.
+            let event = tokio::select! {
+                Some((id, told)) = tells.recv() => match self.hear(id, told, &mut calls) {
+                    Some(event) => event,
+                    None => continue,
+                },
+                () = changed(&mut address) => {
+                    // The new one may count its versions in its own way.
                     self.roster.seq = None;
+                    calls.spare = None;
+                    Event::Moved
                 }
-                let ended = tokio::select! {
-                    ended = caught(self.follow()) => ended,
-                    // Guards against a wait of many seconds for an answer from the one that is to go.
-                    true = changed(&mut address) => {
-                        moved = true;
-                        continue;
-                    }
-                };
-                if ended.is_none() {
-                    say(format_args!("the watch panicked"));
+                () = asked => Event::Begin,
+                () = wake => Event::Wake,
+            };
+            let mut actions = Vec::new();
+            watch.handle(clock.now(), event, &mut actions);
+            for action in actions {
+                match action {
+                    Action::Ask(id, wait) => calls.ask(id, *address.borrow(), self.path(wait)),
+                    Action::Drop(id) => calls.drop(id),
+                    Action::Ended => self.roster.handle.backends(ListScope::Failed, Vec::new()),
                 }
-                break;
             }
-            self.roster.handle.backends(ListScope::Failed, Vec::new());
+            let held = watch.hold().map(|(from, until)| (clock.instant(from), clock.instant(until)));
+            self.roster.backends.hold(held);
         }
     }
 
-    /// Watches until something fails.
-    async fn follow(&mut self) {
-        loop {
-            let address = *self.address.borrow();
-            let Ok(Ok(stream)) = timeout(LATE, TcpStream::connect(address)).await else { return };
-            let Ok((mut sender, connection)) =
-                http1::handshake(TokioIo::new(Socket::new(stream, None))).await
-            else {
-                return;
-            };
-            let mut tasks = JoinSet::new();
-            tasks.spawn_local(connection);
-            // Discovery may close a connection after an answer: the watch goes on over a new one.
-            let mut answered = false;
-            while !answered || sender.ready().await.is_ok() {
-                let asked = Instant::now();
-                let path = match self.roster.seq {
-                    Some(seq) => format!("/v1/servers?after={seq}&wait_ms={}", WAIT.as_millis()),
-                    None => "/v1/servers".to_owned(),
-                };
-                let Ok(Some(list)) = timeout(WAIT + LATE, self.ask(&mut sender, &path)).await else { return };
+    /// Takes in what a call tells; nothing where it was called off in this very moment.
+    fn hear(&mut self, id: CallId, told: Told, calls: &mut Calls) -> Option<Event> {
+        if !calls.handles.contains_key(&id) {
+            return None;
+        }
+        if let Told::Heard = told {
+            return Some(Event::Heard(id));
+        }
+        calls.end(id);
+        Some(match told {
+            Told::Answered(list, connection) => {
+                calls.spare = Some(connection);
                 let news = list.whole || !list.hosts.is_empty();
                 let scope = if list.whole { ListScope::Full } else { ListScope::Delta };
                 self.roster.apply(list, scope);
-                answered = true;
-                if !news {
-                    sleep_until(asked + SHORTEST_WATCH).await;
+                Event::Answered(id, news)
+            }
+            Told::Malformed(fault) => {
+                if !std::mem::replace(&mut self.complained, true) {
+                    say(format_args!("passing over a malformed list of backends: {fault}"));
                 }
+                Event::Broke(id)
             }
+            Told::Broke => Event::Broke(id),
+            Told::Heard | Told::Failed => Event::Failed(id),
+        })
+    }
+
+    fn path(&self, wait: Micros) -> String {
+        match self.roster.seq.filter(|_| wait > 0) {
+            Some(seq) => format!("/v1/servers?after={seq}&wait_ms={}", wait / 1000),
+            None => "/v1/servers".to_owned(),
         }
     }
+}
 
-    async fn ask(&mut self, sender: &mut SendRequest<Empty<Bytes>>, path: &str) -> Option<HostList> {
-        let mut request = Request::new(Empty::new());
-        *request.uri_mut() = path.parse().ok()?;
-        request.headers_mut().insert(HOST, HeaderValue::from_static("discovery"));
-        let response = sender.send_request(request).await.ok()?;
-        if response.status() != StatusCode::OK {
-            return None;
+async fn connect(address: SocketAddr) -> Option<Connection> {
+    let stream = timeout(CONNECT, TcpStream::connect(address)).await.ok()?.ok()?;
+    let (sender, connection) = http1::handshake(TokioIo::new(Socket::new(stream, None))).await.ok()?;
+    let mut task = JoinSet::new();
+    task.spawn_local(connection);
+    Some(Connection { sender, _task: task })
+}
+
+/// Makes a call, over a connection that stands if there is one, and tells when its answer begins.
+async fn call(address: SocketAddr, path: &str, spare: Option<Connection>, heard: impl Fn()) -> Told {
+    let mut request = Request::new(Empty::new());
+    let Ok(uri) = path.parse() else { return Told::Failed };
+    *request.uri_mut() = uri;
+    request.headers_mut().insert(HOST, HeaderValue::from_static("discovery"));
+    let mut spare = spare;
+    loop {
+        let fresh = spare.is_none();
+        let Some(mut connection) = (match spare.take() {
+            Some(connection) => Some(connection),
+            None => connect(address).await,
+        }) else {
+            return Told::Failed;
+        };
+        // Discovery may close a connection after an answer: the watch goes on over a new one.
+        if connection.sender.ready().await.is_err() && !fresh {
+            continue;
         }
-        let body = Limited::new(response.into_body(), MOST_LIST).collect().await.ok()?.to_bytes();
-        let list = serde_json::from_slice(&body);
-        if let (Err(e), false) = (&list, self.complained) {
-            say(format_args!("passing over a malformed list of backends: {e}"));
-            self.complained = true;
+        let response = match connection.sender.try_send_request(request).await {
+            Ok(response) => response,
+            Err(mut e) => match e.take_message() {
+                Some(unsent) if !fresh => {
+                    request = unsent;
+                    continue;
+                }
+                _ => return Told::Failed,
+            },
+        };
+        if response.status() != StatusCode::OK {
+            return Told::Failed;
         }
-        list.ok()
+        heard();
+        return read(response, connection).await;
+    }
+}
+
+async fn read(response: Response<Incoming>, connection: Connection) -> Told {
+    let Ok(body) = Limited::new(response.into_body(), MOST_LIST).collect().await else { return Told::Broke };
+    match serde_json::from_slice(&body.to_bytes()) {
+        Ok(list) => Told::Answered(list, connection),
+        Err(fault) => Told::Malformed(fault.to_string()),
     }
 }
--- a/crates/proxy/src/platform.rs
+++ b/crates/proxy/src/platform.rs
@@ -5,7 +5,9 @@
 use std::rc::Rc;
 
 use config::{sockets_cut, HostList};
+use decide::interface::Micros;
 use decide::settings::{self, Site};
+use members::{Hold, Policy};
 use serde::Deserialize;
 use serde_json::value::RawValue;
 use tokio::net::TcpListener;
@@ -13,7 +15,7 @@
 use tokio::sync::{watch, Notify};
 use tokio::task::spawn_local;
 
-use crate::backend::Backends;
+use crate::backend::{Backends, DRAIN_MARGIN};
 use crate::clock::Clock;
 use crate::driver::Driver;
 use crate::gate::Platform;
@@ -24,6 +26,9 @@
 use crate::process::{self, Signals};
 use crate::server::{self, Gate};
 
+/// Where the settings do not say in which time discovery must be asked, it is this.
+const MUST_ASK_IN: Micros = 10_000_000;
+
 pub struct Config {
     pub listen: SocketAddr,
     pub discovery: SocketAddr,
@@ -119,6 +124,17 @@
     }
 }
 
+/// How discovery is watched, and what is owed when it tells something that is not heard: by the settings, drains are
+/// kept within a time. Four times that in which discovery must be asked is what they allow to a list after a failed call.
+fn watch_policy(site: &Site) -> Policy {
+    let hold = Hold {
+        grace: site.transport.drain_grace,
+        margin: DRAIN_MARGIN.as_micros() as Micros,
+        most: site.settings.must_ask_in.max(MUST_ASK_IN) * 4,
+    };
+    Policy { answers_each: site.settings.ask_discovery, hold: Some(hold) }
+}
+
 /// Runs until SIGTERM or SIGINT, and then until all that was taken has its answer.
 async fn serve(config: Config) -> Result<(), String> {
     let (mut signals, hangup) = Signals::new()?;
@@ -128,6 +144,7 @@
     let address = listener.local_addr().map_err(|e| format!("cannot listen: {e}"))?;
     let site = config.site;
     let clock = Clock::new();
+    let policy = watch_policy(&site);
     let backends = Rc::new(Backends::new(site.transport, config.backends));
     let subscribe = Rc::new(Notify::new());
     let ready = Rc::new(Cell::new(false));
@@ -155,6 +172,8 @@
         address: address_of_discovery,
         roster,
         subscribe: site.settings.ask_discovery.then_some(subscribe),
+        policy,
+        seed: config.seed,
         complained: false,
     };
     spawn_local(driver.run());
--- a/crates/proxy/src/pool.rs
+++ b/crates/proxy/src/pool.rs
@@ -7,6 +7,7 @@
 use config::{Config, Health, Host, HostList, Node, NodeState, Protocol, Source};
 use decide::interface::*;
 use decide::settings::{Names, Transport};
+use members::Policy;
 use route::{Count, Within};
 use tokio::sync::{watch, Notify};
 use tokio::task::{spawn_local, AbortHandle};
@@ -90,7 +91,10 @@
             Source::Discovery(address) => {
                 // Another address is another source, and so another pool.
                 let (moves, address) = watch::channel(*address);
-                let discovery = Discovery { address, roster, subscribe: Some(subscribe), complained: false };
+                // Nothing says in which time drains must be kept, so the list is relied on while discovery is away.
+                let policy = Policy { answers_each: true, hold: None };
+                let subscribe = Some(subscribe);
+                let discovery = Discovery { address, roster, subscribe, policy, seed, complained: false };
                 tasks.push(spawn_local(async move {
                     let _moves = moves;
                     discovery.run(None).await;
--- a/crates/testkit/src/discovery.rs
+++ b/crates/testkit/src/discovery.rs
@@ -29,6 +29,8 @@
 #[derive(Clone, Debug)]
 pub enum News {
     List(String),
+    /// It says that a list comes, and breaks off in the middle.
+    Breaks(String),
     Fails,
 }
 
@@ -67,6 +69,13 @@
                             News::List(body) => {
                                 format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len())
                             }
+                            News::Breaks(body) => {
+                                let half = &body[..body.len() / 2];
+                                let head =
+                                    format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
+                                let _ = stream.write_all(format!("{head}{half}").as_bytes());
+                                return;
+                            }
                             News::Fails => {
                                 "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n".to_owned()
                             }
