Reckon the budgets of cold nodes by what warm ones were seen to carry

Refusals by reason over the fleet show why: with no warm node left, a cold one's budget was a multiple of what comes in; the tier above sheds what fails, so that fell, and with it the budget, until next to nothing went through (1,032 of 2,350 calls in ten seconds had no node they might be sent to, with one call in flight a proxy).

What a warm node carries is a figure of its own now: followed while at least half are warm, held while fewer are. Where none of the candidates drawn may be sent to, up to 24 more are drawn.

crates/emulate is the first slice of an emulator: many instances of the real decisions and watches in simulated time, among modelled clients, nodes and one discovery.

--- a/crates/decide/src/choice.rs
+++ b/crates/decide/src/choice.rs
@@ -56,6 +56,8 @@
 const COLD_SAFETY: f64 = 0.5;
 /// Pools up to this size are ranked whole; in larger ones half as many are drawn beside the own part.
 const SAMPLE: usize = 12;
+/// And so many more are drawn one by one if none of them may be sent to.
+const FURTHER: usize = 24;
 /// What a broken attempt adds to the time that it took, in aims. Higher leaves a failing server sooner, and
 /// reads more into errors that a deeper tier sent up through a sound one.
 const BROKEN: f64 = 2.0;
@@ -73,6 +75,9 @@
 
 /// Balancers of a tier that discovery is usually built for.
 const USUAL_FLEET: i64 = 8;
+/// How fast what a warm server carries is followed upwards and downwards, in parts a period. Slow downwards:
+/// what is refused for want of warm servers must not make them look smaller than they are.
+const CARRIED: [f64; 2] = [0.1, 0.003];
 /// A figure on load that balancers tell each other counts these parts of an aim, up to 253 of them.
 const FIGURES_PER_AIM: f64 = 64.0;
 /// The figures of a call that was turned away as full, and of one that got an error.
@@ -192,6 +197,10 @@
     inflight: u32,
     arrivals: Ewma,
     served: Ewma,
+    /// Good answers of warm servers.
+    served_warm: Ewma,
+    /// Good answers a microsecond that one warm server gives this balancer.
+    carried: Option<f64>,
     samples: Vec<f64>,
     baseline: Option<f64>,
     answers: f64,
@@ -247,6 +256,8 @@
             inflight: 0,
             arrivals: Ewma::default(),
             served: Ewma::default(),
+            served_warm: Ewma::default(),
+            carried: None,
             samples: Vec::new(),
             baseline: None,
             answers: 0.0,
@@ -271,8 +282,8 @@
             // Out of step with the other instances: cursors that move together on late figures swing.
             out.push(Action::Timer { at: now + self.rng.i64(1..=self.period), token: PERIOD });
             if self.s.ask_discovery {
-                // The more there are, the longer discovery takes to answer each: guards against its being swamped
-                // by a fleet that starts, and turning calls away for long after. Does harm where lists are old.
+                // The more there are, the longer discovery takes to answer each: guards against its being
+                // swamped by a fleet that starts. Does harm where lists are old.
                 let all =
                     i64::from(self.s.balancers).max(USUAL_FLEET) * self.s.must_ask_in / (8 * USUAL_FLEET);
                 let spread = all.min(self.s.must_ask_in * 3 / 4).max(1);
@@ -450,6 +461,15 @@
             let held = if self.t1.is_finite() { self.t1 * 0.995 } else { 0.0 };
             self.t1 = (at_aim * T1_OF_AIM).max(held);
         }
+        self.served_warm.fade(now, self.memory);
+        let warm = self.ready.iter().filter(|&&b| self.cold_part(now, b).is_none()).count();
+        // Few warm servers are too few to tell: what is known of more goes on to count.
+        if age > self.memory && 2 * warm >= self.ready.len().max(1) {
+            let seconds = self.memory * (1.0 - (-age / self.memory).exp());
+            let now_carried = self.served_warm.n / warm as f64 / seconds;
+            let known = *self.carried.get_or_insert(now_carried);
+            self.carried = Some(known + CARRIED[usize::from(now_carried < known)] * (now_carried - known));
+        }
         let before = self.cursor;
         let (load, reported) = self.load(now);
         self.silent_periods = if load.is_some() { 0 } else { self.silent_periods + 1 };
@@ -595,7 +615,12 @@
         let drowned = 2 * out_count > ready.len();
         let own = if named.is_some() { 0 } else { self.subset.len() };
         let drawn = if named.is_some() { SAMPLE } else { SAMPLE / 2 };
-        for i in 0..if few { ready.len() } else { own + drawn } {
+        let further = if named.is_some() { 0 } else { FURTHER };
+        for i in 0..if few { ready.len() } else { own + drawn + further } {
+            // Guards against a refusal by chance where most servers are cold: few of them may be sent to.
+            if !few && i >= own + drawn && best.is_some() {
+                break;
+            }
             let ready = named.as_ref().unwrap_or(&self.ready);
             let b = if few {
                 ready[i]
@@ -731,6 +756,9 @@
             self.pool.add(now, self.memory, took);
             self.usual[class].add(now, self.memory, took);
             self.served.add(now, self.memory, aim);
+            if self.cold_part(now, b).is_none() {
+                self.served_warm.add(now, self.memory, 0.0);
+            }
         }
         let figure = match outcome {
             Outcome::Ok | Outcome::Timeout => (took / aim * FIGURES_PER_AIM).clamp(1.0, 253.0) as u8,
@@ -876,16 +904,24 @@
     /// Rule 4: this instance's share of what a cold server takes, as if all others used theirs in full.
     fn cold_allows(&mut self, now: Micros, b: usize) -> bool {
         let Some(part) = self.cold_part(now, b) else { return true };
-        let warm = self.ready.iter().filter(|&&o| self.cold_part(now, o).is_none()).count();
         let age = ((now - self.start) as f64 / self.memory).max(0.01);
         self.arrivals.fade(now, self.memory);
-        self.served.fade(now, self.memory);
         let seconds = self.memory * (1.0 - (-age).exp());
-        let (calls, servers) = if warm > 0 { (self.served, warm) } else { (self.arrivals, self.ready.len()) };
-        let carried = calls.n / servers.max(1) as f64;
+        self.served.fade(now, self.memory);
+        // By what warm servers were last seen to carry, or by what is served now, if that is more: shared by
+        // those that are warm, or where none is by the part that each surely has.
+        let ready = self.ready.len() as f64;
+        let parts = self.ready.iter().map(|&o| self.cold_part(now, o));
+        let warm = parts.clone().filter(Option::is_none).count() as f64;
+        let shared = if warm > 0.0 { warm.max(ready / 8.0) } else { parts.flatten().sum::<f64>().max(0.01) };
+        let carried = match self.carried {
+            Some(known) => known.max(self.served.n / shared / seconds),
+            None if warm > 0.0 => self.served.n / shared / seconds,
+            None => self.arrivals.n / ready.max(1.0) / seconds,
+        };
         // What all balancers may send within the window, less three roots for chance: guards against few
         // calls in a short window, where an even share of the budget is often overrun.
-        let all = self.s.fall_multiple * part * carried / seconds * f64::from(self.s.balancers);
+        let all = self.s.fall_multiple * part * carried * f64::from(self.s.balancers);
         let budget = all * self.s.fall_time as f64;
         let safe = (((9.0 + 4.0 * budget).sqrt() - 3.0) / 2.0).powi(2) / budget.max(1e-9);
         let rate = safe.min(COLD_SAFETY) * all / f64::from(self.s.balancers);
--- /dev/null
+++ b/crates/emulate/src/world.rs
@@ -0,0 +1,435 @@
+//! The loop: events in the order of their times, and what each does to whom.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap, VecDeque};
+
+use decide::interface::*;
+use decide::Balancer;
+use fastrand::Rng;
+use members::{CallId, Hold, Policy, Watch};
+
+use crate::discovery::{Discovery, End};
+use crate::node::{Node, CORES, FALL, WORK};
+use crate::{Fleet, Report, MS, S};
+
+const AIM: Micros = S;
+const DEADLINE: Micros = 2_500 * MS;
+const GRACE: Micros = 500 * MS;
+const MUST_ASK: Micros = 10 * S;
+const KEEPALIVE: Micros = 7_500 * MS;
+/// One way between a proxy and a node.
+const WAY: Micros = 300;
+/// What a new connection takes.
+const HANDSHAKE: Micros = 3 * MS;
+/// A client's tries, and its pause between them at most.
+const TRIES: u8 = 3;
+const BACKOFF: Micros = 400 * MS;
+/// A node that is replaced finishes for so long.
+const DRAINS: Micros = 5 * S;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum What {
+    /// A request, of a client that has asked so often.
+    Arrives(Asked),
+    Timer(usize, u64),
+    /// An attempt of a proxy ends: request, attempt, outcome.
+    Ends(usize, u64, usize, Outcome_),
+    Wake(usize),
+    /// A call of a proxy ends.
+    Call(usize, u64, Ending),
+    Replace,
+    Changes(u32, u8),
+}
+
+type Outcome_ = u8;
+const OUTCOMES: [Outcome; 4] = [Outcome::Ok, Outcome::Timeout, Outcome::Full, Outcome::ConnectFailed];
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Ending {
+    Whole(usize),
+    Broken,
+    Failed,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Asked {
+    /// When the client asked first.
+    first: Micros,
+    class: usize,
+    tries: u8,
+    work: Micros,
+}
+
+struct Open {
+    asked: Asked,
+    /// Nodes of the attempts, and when they were sent; None once ended.
+    attempts: Vec<(BackendId, Option<Micros>)>,
+    answered: bool,
+}
+
+struct Proxy {
+    balancer: Balancer,
+    watch: Watch,
+    open: BTreeMap<u64, Open>,
+    /// Idle connections by node, with when each was used last.
+    idle: BTreeMap<u32, Vec<Micros>>,
+    /// The version of its list, and when it had its last answer.
+    seen: usize,
+    answered: Option<Micros>,
+    /// What counts as told of nodes that leave, whether it was heard or not.
+    told: BTreeMap<u32, Micros>,
+    unheard: Vec<(Micros, usize)>,
+}
+
+pub struct World<'a> {
+    fleet: &'a Fleet,
+    rng: Rng,
+    now: Micros,
+    queue: BinaryHeap<Reverse<(Micros, u64, What)>>,
+    numbers: u64,
+    nodes: BTreeMap<u32, Node>,
+    /// In the order in which they are replaced.
+    line: VecDeque<u32>,
+    discovery: Discovery,
+    proxies: Vec<Proxy>,
+    /// The part of the last tries, some hundreds, that got no answer.
+    lost: f64,
+    report: Report,
+}
+
+impl<'a> World<'a> {
+    pub fn new(fleet: &'a Fleet) -> World<'a> {
+        let class =
+            |gain: f64, semantics| Class { aim: AIM, deadline: DEADLINE, gain, late_value: 0.0, semantics };
+        let hold = Hold { grace: GRACE, margin: 150 * MS, most: 4 * MUST_ASK };
+        let proxy = |rank: usize| {
+            let settings = Settings {
+                balancers: fleet.proxies as u32,
+                rank: rank as u32,
+                tiers: 1,
+                classes: vec![class(12.0, Semantics::Idempotent), class(1.0, Semantics::AtMostOnce)],
+                ask_discovery: true,
+                must_ask_in: MUST_ASK,
+                can_cancel: true,
+                second_copies: true,
+                max_attempts: 3,
+                tick: 5 * MS,
+                cold_from: fleet.cold_from,
+                cold_time: fleet.cold,
+                fall_multiple: FALL.0,
+                fall_time: FALL.1,
+                ..Settings::default()
+            };
+            let seed = fleet.seed.wrapping_mul(1_000_003).wrapping_add(rank as u64);
+            Proxy {
+                balancer: Balancer::new(settings, seed),
+                watch: Watch::new(Policy { answers_each: true, hold: Some(hold) }, true, seed),
+                open: BTreeMap::new(),
+                idle: BTreeMap::new(),
+                seen: 0,
+                answered: None,
+                told: BTreeMap::new(),
+                unheard: Vec::new(),
+            }
+        };
+        let nodes: BTreeMap<u32, Node> = (0..fleet.nodes as u32).map(|id| (id, Node::new(None))).collect();
+        World {
+            fleet,
+            rng: Rng::with_seed(fleet.seed),
+            now: 0,
+            queue: BinaryHeap::new(),
+            numbers: 0,
+            line: nodes.keys().copied().collect(),
+            nodes,
+            discovery: Discovery::new(),
+            proxies: (0..fleet.proxies).map(proxy).collect(),
+            lost: 0.0,
+            report: Report::default(),
+        }
+    }
+
+    pub fn play(mut self) -> Report {
+        let entries: Vec<BackendEntry> = self.nodes.keys().map(|id| self.entry(*id, Stage::Ready)).collect();
+        for p in 0..self.proxies.len() {
+            self.decide(p, Event::Backends { scope: ListScope::Cached, entries: &entries });
+        }
+        if let Some((from, ..)) = self.fleet.release {
+            self.at(from, What::Replace);
+        }
+        let first = self.client();
+        let asked = Asked { first, ..self.asked() };
+        self.at(first, What::Arrives(asked));
+        while let Some(Reverse((at, _, what))) = self.queue.pop() {
+            if at > self.fleet.length + 5 * S {
+                break;
+            }
+            self.now = at;
+            self.take(what);
+        }
+        self.report.herd = self.nodes.values().map(|n| n.herd).max().unwrap_or(0);
+        self.report.pushed_over = self.nodes.values().filter(|n| n.fell).count() as u64;
+        self.report.list_calls = self.discovery.in_turn;
+        self.report.turned_away = self.discovery.turned_away;
+        self.report
+    }
+
+    fn at(&mut self, at: Micros, what: What) {
+        self.numbers += 1;
+        self.queue.push(Reverse((at, self.numbers, what)));
+    }
+
+    fn exponential(&mut self, mean: f64) -> Micros {
+        (-self.rng.f64().max(1e-12).ln() * mean) as Micros
+    }
+
+    /// When the next client comes.
+    fn client(&mut self) -> Micros {
+        let most = (self.fleet.nodes * CORES) as f64 / WORK as f64;
+        self.now + self.exponential(1.0 / (most * self.fleet.load))
+    }
+
+    fn asked(&mut self) -> Asked {
+        let class = usize::from(self.rng.f64() > 0.15);
+        Asked { first: self.now, class, tries: 0, work: self.exponential(WORK as f64).clamp(MS, 8 * WORK) }
+    }
+
+    fn entry(&self, id: u32, stage: Stage) -> BackendEntry {
+        let up_since = self.nodes.get(&id).and_then(|n| n.started);
+        BackendEntry { id: BackendId(id), stage, weight: 1.0, up_since, ..BackendEntry::default() }
+    }
+
+    fn take(&mut self, what: What) {
+        match what {
+            What::Arrives(asked) => self.arrives(asked),
+            What::Timer(p, token) => self.decide(p, Event::Timer(token)),
+            What::Ends(p, request, nth, outcome) => {
+                self.ends(p, request, nth, OUTCOMES[usize::from(outcome)]);
+            }
+            What::Wake(p) => self.watch(p, members::Event::Wake),
+            What::Call(p, id, ending) => self.call_ends(p, CallId(id), ending),
+            What::Replace => self.replace(),
+            What::Changes(id, stage) => {
+                let stage = [Stage::Ready, Stage::Draining, Stage::Gone][usize::from(stage)];
+                if let Some(node) = self.nodes.get_mut(&id) {
+                    node.stage = stage;
+                }
+            }
+        }
+    }
+
+    // ---- Clients ----
+
+    fn arrives(&mut self, asked: Asked) {
+        if asked.tries == 0 {
+            self.report.asked += 1;
+            let next = self.client();
+            if next < self.fleet.length {
+                let asked = Asked { first: next, ..self.asked() };
+                self.at(next, What::Arrives(asked));
+            }
+            if self.fleet.callers_shed && self.rng.f64() < self.lost {
+                // They go on trying a little, or would never see it end.
+                self.lost *= 0.999;
+                return;
+            }
+        }
+        self.report.tries += 1;
+        self.numbers += 1;
+        let (id, p) = (self.numbers, self.rng.usize(0..self.proxies.len()));
+        let asked = Asked { tries: asked.tries + 1, ..asked };
+        let time_left = asked.first + DEADLINE - self.now;
+        self.proxies[p].open.insert(id, Open { asked, attempts: Vec::new(), answered: false });
+        let request = NewRequest {
+            id: RequestId(id),
+            class: asked.class,
+            time_left,
+            is_retry: asked.tries > 1,
+            ..NewRequest::default()
+        };
+        self.decide(p, Event::Request(request));
+    }
+
+    fn refused(&mut self, p: usize, id: u64) {
+        self.report.refused += 1;
+        let Some(asked) = self.answer(p, id) else { return };
+        let back = self.now + self.rng.i64(BACKOFF / 8..BACKOFF);
+        if asked.tries < TRIES && back < asked.first + AIM {
+            self.at(back, What::Arrives(asked));
+        }
+    }
+
+    /// A request has its answer; its attempts that are out still end.
+    fn answer(&mut self, p: usize, id: u64) -> Option<Asked> {
+        let open = self.proxies[p].open.get_mut(&id)?;
+        open.answered = true;
+        let asked = open.asked;
+        self.lost += 0.005 * (1.0 - self.lost);
+        if open.attempts.iter().all(|(_, sent)| sent.is_none()) {
+            self.proxies[p].open.remove(&id);
+        }
+        Some(asked)
+    }
+
+    // ---- Attempts ----
+
+    fn send(&mut self, p: usize, id: u64, to: BackendId, until: Micros) {
+        let now = self.now;
+        let proxy = &mut self.proxies[p];
+        let Some(open) = proxy.open.get_mut(&id) else { return };
+        let (nth, work) = (open.attempts.len(), open.asked.work);
+        open.attempts.push((to, Some(now)));
+        if proxy.watch.hold().is_some_and(|(from, end)| from <= now && now < end) {
+            // The request is refused by whoever decides: nothing was sent.
+            return self.ends(p, id, nth, Outcome::Moot);
+        }
+        proxy.unheard.retain(|(at, version)| {
+            let due = *at <= now;
+            if due {
+                let left = self.discovery.changes[..*version].iter().filter(|c| c.2 != Stage::Ready);
+                left.for_each(|(_, id, _)| {
+                    proxy.told.entry(id.0).or_insert(*at);
+                });
+            }
+            !due
+        });
+        if proxy.told.get(&to.0).is_some_and(|told| now > told + GRACE) {
+            self.report.late_sends += 1;
+        }
+        let idle = proxy.idle.entry(to.0).or_default();
+        idle.retain(|used| *used > now - KEEPALIVE);
+        let fresh = idle.pop().is_none();
+        self.report.handshakes += u64::from(fresh);
+        let there = now + WAY + if fresh { HANDSHAKE } else { 0 };
+        let node = self.nodes.get_mut(&to.0).filter(|n| n.stage != Stage::Gone);
+        let (ends, outcome) = match node.map(|n| n.take(self.fleet, there, work)) {
+            None => (there, 3),
+            Some(None) => (there + WAY, 2),
+            Some(Some(done)) if done.saturating_add(WAY) <= until => (done + WAY, 0),
+            Some(Some(_)) => (until, 1),
+        };
+        self.at(ends, What::Ends(p, id, nth, outcome));
+    }
+
+    fn ends(&mut self, p: usize, id: u64, nth: usize, outcome: Outcome) {
+        let now = self.now;
+        let proxy = &mut self.proxies[p];
+        let Some(open) = proxy.open.get_mut(&id) else { return };
+        let (node, sent) = open.attempts[nth];
+        let Some(sent) = sent else { return };
+        open.attempts[nth].1 = None;
+        let is_final = outcome == Outcome::Ok && !open.answered;
+        if outcome == Outcome::Ok {
+            proxy.idle.entry(node.0).or_default().push(now);
+        }
+        if is_final {
+            let asked = open.asked;
+            self.report.served += u64::from(now <= asked.first + AIM);
+            let lost = self.lost;
+            self.answer(p, id);
+            self.lost = lost * 0.995;
+        } else if open.answered && open.attempts.iter().all(|(_, sent)| sent.is_none()) {
+            proxy.open.remove(&id);
+        }
+        self.decide(
+            p,
+            Event::Outcome {
+                request: RequestId(id),
+                attempt: nth,
+                backend: node,
+                outcome,
+                took: now - sent,
+                is_final,
+                report: None,
+            },
+        );
+    }
+
+    // ---- Decisions and watches ----
+
+    fn decide(&mut self, p: usize, event: Event<'_>) {
+        let mut actions = Vec::new();
+        self.proxies[p].balancer.handle(self.now, event, &mut actions);
+        for action in actions {
+            match action {
+                Action::Send { request, backend, until } => self.send(p, request.0, backend, until),
+                Action::Refuse { request, .. } => self.refused(p, request.0),
+                Action::Fail(request) => drop(self.answer(p, request.0)),
+                Action::Cancel { request, attempt } => self.ends(p, request.0, attempt, Outcome::Cancelled),
+                Action::Timer { at, token } => self.at(at.max(self.now), What::Timer(p, token)),
+                Action::Subscribe => self.watch(p, members::Event::Begin),
+                _ => {}
+            }
+        }
+    }
+
+    fn watch(&mut self, p: usize, event: members::Event) {
+        let mut actions = Vec::new();
+        self.proxies[p].watch.handle(self.now, event, &mut actions);
+        for action in actions {
+            match action {
+                members::Action::Ask(id, wait) => self.call(p, id, wait),
+                // Its end is passed over by the watch.
+                members::Action::Drop(_) => {}
+                members::Action::Ended => {
+                    self.decide(p, Event::Backends { scope: ListScope::Failed, entries: &[] });
+                }
+            }
+        }
+        if let Some(at) = self.proxies[p].watch.wake_at() {
+            self.at(at.max(self.now), What::Wake(p));
+        }
+    }
+
+    fn call(&mut self, p: usize, id: CallId, wait: Micros) {
+        let proxy = &mut self.proxies[p];
+        let asked = (proxy.seen, wait, proxy.answered);
+        let (end, unheard) = self.discovery.call(self.fleet, &mut self.rng, self.now, asked);
+        self.proxies[p].unheard.extend(unheard);
+        let (at, ending) = match end {
+            End::Whole(at, version) => (at, Ending::Whole(version)),
+            End::Broken(at) => (at, Ending::Broken),
+            End::TurnedAway(at) => (at, Ending::Failed),
+            End::Silent => return,
+        };
+        self.at(at, What::Call(p, id.0, ending));
+    }
+
+    fn call_ends(&mut self, p: usize, id: CallId, ending: Ending) {
+        let version = match ending {
+            Ending::Whole(version) => version,
+            Ending::Broken => return self.watch(p, members::Event::Broke(id)),
+            Ending::Failed => return self.watch(p, members::Event::Failed(id)),
+        };
+        let seen = self.proxies[p].seen;
+        self.proxies[p].answered = Some(self.now);
+        if version > seen {
+            let changes = self.discovery.changes[seen..version].to_vec();
+            for (_, id, stage) in &changes {
+                if *stage != Stage::Ready {
+                    self.proxies[p].told.entry(id.0).or_insert(self.now);
+                }
+            }
+            let entries: Vec<_> = changes.iter().map(|(_, id, stage)| self.entry(id.0, *stage)).collect();
+            self.proxies[p].seen = version;
+            self.decide(p, Event::Backends { scope: ListScope::Delta, entries: &entries });
+        }
+        self.watch(p, members::Event::Answered(id, version > seen));
+    }
+
+    /// The oldest node drains, and a new one takes its place.
+    fn replace(&mut self) {
+        let Some((_, every, until)) = self.fleet.release else { return };
+        let (new, now) = (self.nodes.len() as u32, self.now);
+        self.nodes.insert(new, Node::new(Some(now)));
+        self.line.push_back(new);
+        self.discovery.changes.push((now, BackendId(new), Stage::Ready));
+        if let Some(old) = self.line.pop_front() {
+            self.discovery.changes.push((now, BackendId(old), Stage::Draining));
+            self.at(now, What::Changes(old, 1));
+            self.at(now + DRAINS, What::Changes(old, 2));
+        }
+        if now + every < until {
+            self.at(now + every, What::Replace);
+        }
+    }
+}
