Emulator: one queue by time, one wake a watch, nodes that have gone as a flag

Read again: the queue ordered whole events only because a heap wants it, so outcomes and stages were numbers; each event of a watch put one more wake that lived for ever; the part of the tries that is lost was first raised and then put back.

The queue is a map by time and number, a watch has one wake that counts, an answer says whether it served. Two comments said something else than the code.

--- a/crates/emulate/src/lib.rs
+++ b/crates/emulate/src/lib.rs
@@ -74,7 +74,7 @@
     pub asked: u64,
     /// Answered within their aim, by whichever try.
     pub served: u64,
-    /// Tries, and those of them that were refused.
+    /// Tries.
     pub tries: u64,
     /// Tries that were refused.
     pub refused: u64,
--- a/crates/emulate/src/node.rs
+++ b/crates/emulate/src/node.rs
@@ -2,7 +2,7 @@
 
 use std::collections::VecDeque;
 
-use decide::interface::{Micros, Stage};
+use decide::interface::Micros;
 
 use crate::Fleet;
 
@@ -17,7 +17,7 @@
 const HERD: Micros = 100_000;
 
 pub struct Node {
-    pub stage: Stage,
+    pub gone: bool,
     /// None: long ago.
     pub started: Option<Micros>,
     pub fell: bool,
@@ -33,7 +33,7 @@
 impl Node {
     pub fn new(started: Option<Micros>) -> Node {
         Node {
-            stage: Stage::Ready,
+            gone: false,
             started,
             fell: false,
             free: [Micros::MIN; CORES],
--- a/crates/emulate/src/world.rs
+++ b/crates/emulate/src/world.rs
@@ -1,7 +1,6 @@
 //! The loop: events in the order of their times, and what each does to whom.
 
-use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 
 use decide::interface::*;
 use decide::Balancer;
@@ -27,31 +26,29 @@
 /// A node that is replaced finishes for so long.
 const DRAINS: Micros = 5 * S;
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy)]
 enum What {
     /// A request, of a client that has asked so often.
     Arrives(Asked),
     Timer(usize, u64),
     /// An attempt of a proxy ends: request, attempt, outcome.
-    Ends(usize, u64, usize, Outcome_),
+    Ends(usize, u64, usize, Outcome),
     Wake(usize),
     /// A call of a proxy ends.
     Call(usize, u64, Ending),
     Replace,
-    Changes(u32, u8),
+    /// A node has gone.
+    Gone(u32),
 }
 
-type Outcome_ = u8;
-const OUTCOMES: [Outcome; 4] = [Outcome::Ok, Outcome::Timeout, Outcome::Full, Outcome::ConnectFailed];
-
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy)]
 enum Ending {
     Whole(usize),
     Broken,
     Failed,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy)]
 struct Asked {
     /// When the client asked first.
     first: Micros,
@@ -70,6 +67,8 @@
 struct Proxy {
     balancer: Balancer,
     watch: Watch,
+    /// When it is to be woken next.
+    wakes: Option<Micros>,
     open: BTreeMap<u64, Open>,
     /// Idle connections by node, with when each was used last.
     idle: BTreeMap<u32, Vec<Micros>>,
@@ -85,7 +84,8 @@
     fleet: &'a Fleet,
     rng: Rng,
     now: Micros,
-    queue: BinaryHeap<Reverse<(Micros, u64, What)>>,
+    /// What is to come, by its time and the order in which it was put.
+    queue: BTreeMap<(Micros, u64), What>,
     numbers: u64,
     nodes: BTreeMap<u32, Node>,
     /// In the order in which they are replaced.
@@ -124,6 +124,7 @@
             Proxy {
                 balancer: Balancer::new(settings, seed),
                 watch: Watch::new(Policy { answers_each: true, hold: Some(hold) }, true, seed),
+                wakes: None,
                 open: BTreeMap::new(),
                 idle: BTreeMap::new(),
                 seen: 0,
@@ -137,7 +138,7 @@
             fleet,
             rng: Rng::with_seed(fleet.seed),
             now: 0,
-            queue: BinaryHeap::new(),
+            queue: BTreeMap::new(),
             numbers: 0,
             line: nodes.keys().copied().collect(),
             nodes,
@@ -159,7 +160,7 @@
         let first = self.client();
         let asked = Asked { first, ..self.asked() };
         self.at(first, What::Arrives(asked));
-        while let Some(Reverse((at, _, what))) = self.queue.pop() {
+        while let Some(((at, _), what)) = self.queue.pop_first() {
             if at > self.fleet.length + 5 * S {
                 break;
             }
@@ -175,7 +176,7 @@
 
     fn at(&mut self, at: Micros, what: What) {
         self.numbers += 1;
-        self.queue.push(Reverse((at, self.numbers, what)));
+        self.queue.insert((at, self.numbers), what);
     }
 
     fn exponential(&mut self, mean: f64) -> Micros {
@@ -202,16 +203,18 @@
         match what {
             What::Arrives(asked) => self.arrives(asked),
             What::Timer(p, token) => self.decide(p, Event::Timer(token)),
-            What::Ends(p, request, nth, outcome) => {
-                self.ends(p, request, nth, OUTCOMES[usize::from(outcome)]);
+            What::Ends(p, request, nth, outcome) => self.ends(p, request, nth, outcome),
+            // One that was put before another moment was asked for is passed over.
+            What::Wake(p) if self.proxies[p].wakes == Some(self.now) => {
+                self.proxies[p].wakes = None;
+                self.watch(p, members::Event::Wake);
             }
-            What::Wake(p) => self.watch(p, members::Event::Wake),
+            What::Wake(_) => {}
             What::Call(p, id, ending) => self.call_ends(p, CallId(id), ending),
             What::Replace => self.replace(),
-            What::Changes(id, stage) => {
-                let stage = [Stage::Ready, Stage::Draining, Stage::Gone][usize::from(stage)];
+            What::Gone(id) => {
                 if let Some(node) = self.nodes.get_mut(&id) {
-                    node.stage = stage;
+                    node.gone = true;
                 }
             }
         }
@@ -251,7 +254,7 @@
 
     fn refused(&mut self, p: usize, id: u64) {
         self.report.refused += 1;
-        let Some(asked) = self.answer(p, id) else { return };
+        let Some(asked) = self.answer(p, id, false) else { return };
         let back = self.now + self.rng.i64(BACKOFF / 8..BACKOFF);
         if asked.tries < TRIES && back < asked.first + AIM {
             self.at(back, What::Arrives(asked));
@@ -259,11 +262,11 @@
     }
 
     /// A request has its answer; its attempts that are out still end.
-    fn answer(&mut self, p: usize, id: u64) -> Option<Asked> {
+    fn answer(&mut self, p: usize, id: u64, served: bool) -> Option<Asked> {
         let open = self.proxies[p].open.get_mut(&id)?;
         open.answered = true;
         let asked = open.asked;
-        self.lost += 0.005 * (1.0 - self.lost);
+        self.lost += 0.005 * (f64::from(u8::from(!served)) - self.lost);
         if open.attempts.iter().all(|(_, sent)| sent.is_none()) {
             self.proxies[p].open.remove(&id);
         }
@@ -300,12 +303,12 @@
         let fresh = idle.pop().is_none();
         self.report.handshakes += u64::from(fresh);
         let there = now + WAY + if fresh { HANDSHAKE } else { 0 };
-        let node = self.nodes.get_mut(&to.0).filter(|n| n.stage != Stage::Gone);
+        let node = self.nodes.get_mut(&to.0).filter(|n| !n.gone);
         let (ends, outcome) = match node.map(|n| n.take(self.fleet, there, work)) {
-            None => (there, 3),
-            Some(None) => (there + WAY, 2),
-            Some(Some(done)) if done.saturating_add(WAY) <= until => (done + WAY, 0),
-            Some(Some(_)) => (until, 1),
+            None => (there, Outcome::ConnectFailed),
+            Some(None) => (there + WAY, Outcome::Full),
+            Some(Some(done)) if done.saturating_add(WAY) <= until => (done + WAY, Outcome::Ok),
+            Some(Some(_)) => (until, Outcome::Timeout),
         };
         self.at(ends, What::Ends(p, id, nth, outcome));
     }
@@ -324,9 +327,7 @@
         if is_final {
             let asked = open.asked;
             self.report.served += u64::from(now <= asked.first + AIM);
-            let lost = self.lost;
-            self.answer(p, id);
-            self.lost = lost * 0.995;
+            self.answer(p, id, true);
         } else if open.answered && open.attempts.iter().all(|(_, sent)| sent.is_none()) {
             proxy.open.remove(&id);
         }
@@ -353,7 +354,7 @@
             match action {
                 Action::Send { request, backend, until } => self.send(p, request.0, backend, until),
                 Action::Refuse { request, .. } => self.refused(p, request.0),
-                Action::Fail(request) => drop(self.answer(p, request.0)),
+                Action::Fail(request) => drop(self.answer(p, request.0, false)),
                 Action::Cancel { request, attempt } => self.ends(p, request.0, attempt, Outcome::Cancelled),
                 Action::Timer { at, token } => self.at(at.max(self.now), What::Timer(p, token)),
                 Action::Subscribe => self.watch(p, members::Event::Begin),
@@ -375,8 +376,10 @@
                 }
             }
         }
-        if let Some(at) = self.proxies[p].watch.wake_at() {
-            self.at(at.max(self.now), What::Wake(p));
+        let wakes = self.proxies[p].watch.wake_at().map(|at| at.max(self.now));
+        if wakes != self.proxies[p].wakes {
+            self.proxies[p].wakes = wakes;
+            wakes.into_iter().for_each(|at| self.at(at, What::Wake(p)));
         }
     }
 
@@ -425,8 +428,7 @@
         self.discovery.changes.push((now, BackendId(new), Stage::Ready));
         if let Some(old) = self.line.pop_front() {
             self.discovery.changes.push((now, BackendId(old), Stage::Draining));
-            self.at(now, What::Changes(old, 1));
-            self.at(now + DRAINS, What::Changes(old, 2));
+            self.at(now + DRAINS, What::Gone(old));
         }
         if now + every < until {
             self.at(now + every, What::Replace);
--- a/crates/proxy/src/platform.rs
+++ b/crates/proxy/src/platform.rs
@@ -26,7 +26,7 @@
 use crate::process::{self, Signals};
 use crate::server::{self, Gate};
 
-/// Where the settings do not say in which time discovery must be asked, it is this.
+/// Taken for the time in which discovery must be asked where the settings say less, or nothing.
 const MUST_ASK_IN: Micros = 10_000_000;
 
 pub struct Config {
