Discovery: what a call tells is matched once, without a case that cannot be

Read again: the head of an answer was returned before the match, which then had to name it once more and called it a failure. One match now; nothing else changes.

--- a/crates/proxy/src/membership/discovery.rs
+++ b/crates/proxy/src/membership/discovery.rs
@@ -170,11 +170,11 @@
         if !calls.handles.contains_key(&id) {
             return None;
         }
-        if let Told::Heard = told {
-            return Some(Event::Heard(id));
+        if !matches!(told, Told::Heard) {
+            calls.end(id);
         }
-        calls.end(id);
         Some(match told {
+            Told::Heard => Event::Heard(id),
             Told::Answered(list, connection) => {
                 calls.spare = Some(connection);
                 let news = list.whole || !list.hosts.is_empty();
@@ -189,7 +189,7 @@
                 Event::Broke(id)
             }
             Told::Broke => Event::Broke(id),
-            Told::Heard | Told::Failed => Event::Failed(id),
+            Told::Failed => Event::Failed(id),
         })
     }
 
