Operators' address, figures and backends out by hand; a passed listening socket

mgmt is served by the data plane; figures are one Tally a request, ended by its fate or by being dropped; what operators took out is members::Maintenance, shared by both processes in TMPDIR and listed to the decisions as draining; LB_PASSED_SOCKET is taken by listenfd, and a process that shares its socket stops to accept at once when told to end and sends callers off with their answers.

A first run of the new tests hung for twenty minutes on a proxy that outlived its test and held the output open: it said a line that the rig did not know. Standard output of proxies in the rig is closed now, and that line has the form of the others.

--- a/crates/decide/src/choice.rs
+++ b/crates/decide/src/choice.rs
@@ -321,6 +321,12 @@
         }
     }
 
+    /// How many servers that are ready get nothing for now, because calls to them failed.
+    #[must_use]
+    pub fn avoided(&self, now: Micros) -> usize {
+        self.ready.iter().filter(|&&b| self.backends[b].out_until > now).count()
+    }
+
     // ---- Fleet and discovery ----
 
     fn on_backends(&mut self, now: Micros, scope: ListScope, entries: &[BackendEntry], out: &mut Out) {
--- a/crates/proxy/src/backend/mod.rs
+++ b/crates/proxy/src/backend/mod.rs
@@ -19,6 +19,7 @@
 use hyper::header::{self, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
+use prometheus_client::metrics::counter::Counter;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::task::{spawn_local, AbortHandle};
@@ -66,6 +67,8 @@
     said_held: Cell<bool>,
     complained_of_links: Cell<bool>,
     complained_of_reports: Cell<bool>,
+    /// Attempts that were written whole.
+    tries: Counter,
 }
 
 struct Backend {
@@ -139,9 +142,16 @@
             said_held: Cell::new(false),
             complained_of_links: Cell::new(false),
             complained_of_reports: Cell::new(false),
+            tries: Counter::default(),
         }
     }
 
+    /// Counts attempts that are written whole here.
+    pub fn counting(mut self, tries: Counter) -> Backends {
+        self.tries = tries;
+        self
+    }
+
     /// Its nodes speak JSON-RPC.
     pub fn speaking(mut self, speech: Speech) -> Backends {
         self.speech = Some(speech);
@@ -419,9 +429,11 @@
             message.headers_mut().insert(TIMEOUT, left);
             written.set(true);
             let before = link.socket.written();
+            link.socket.counted().at_next_write(&self.tries);
             let response = match link.sender.try_send_request(message).await {
                 Ok(response) => response,
                 Err(mut e) => {
+                    link.socket.counted().not();
                     // Given back, or not a byte of it taken by the kernel: it cannot have run.
                     if e.take_message().is_none() && link.socket.written() > before {
                         return (Outcome::Reset.into(), None);
@@ -455,7 +467,11 @@
             let left = left.as_millis().max(1) as u64;
             let sent = link.send(Rc::clone(progress), |id| mapping::call_of(&order.message, &body, id, left));
             drop(link);
-            return match sent.end().await {
+            let end = sent.end().await;
+            if !matches!(end, End::Never) {
+                self.tries.inc();
+            }
+            return match end {
                 End::Result(result) => {
                     Ended { outcome: Outcome::Ok, report: None, answer: Some(mapping::answer_of(&result)) }
                 }
--- a/crates/proxy/src/driver.rs
+++ b/crates/proxy/src/driver.rs
@@ -143,6 +143,9 @@
                 self.decide(Event::Probed { backend, outcome: ended.outcome, took, report });
             }
             Input::Learn(told) => self.balancer.learn(self.clock.now(), &told),
+            Input::Avoided(asked) => {
+                let _ = asked.send(self.balancer.avoided(self.clock.now()));
+            }
             Input::State(asked) => {
                 // Who asked may have gone.
                 let _ = asked.send(self.balancer.learned(self.clock.now()));
--- a/crates/proxy/src/inbox.rs
+++ b/crates/proxy/src/inbox.rs
@@ -29,6 +29,8 @@
     Learn(Vec<Learned>),
     /// Asks what was learned here.
     State(oneshot::Sender<Learned>),
+    /// Asks how many listed nodes are avoided by choice.
+    Avoided(oneshot::Sender<usize>),
 }
 
 /// What the I/O tasks tell the driver by.
@@ -85,6 +87,13 @@
         receiver.await.ok()
     }
 
+    /// How many listed nodes the decisions avoid by choice.
+    pub async fn avoided(&self) -> usize {
+        let (sender, receiver) = oneshot::channel();
+        self.tell(Input::Avoided(sender));
+        receiver.await.unwrap_or_default()
+    }
+
     pub(crate) fn tell(&self, input: Input) {
         // The driver ends only with the process.
         let _ = self.inputs.send(input);
--- a/crates/proxy/src/membership/mod.rs
+++ b/crates/proxy/src/membership/mod.rs
@@ -7,4 +7,4 @@
 
 pub use discovery::Discovery;
 pub use file::FileWatch;
-pub use roster::{Known, Roster};
+pub use roster::{Known, Listed, Retold, Roster};
--- a/crates/proxy/src/membership/roster.rs
+++ b/crates/proxy/src/membership/roster.rs
@@ -2,6 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -14,6 +15,7 @@
 use crate::backend::Backends;
 use crate::clock::Clock;
 use crate::inbox::Handle;
+use crate::maintenance::Desk;
 use crate::memory::figures::{self, Called};
 use crate::memory::Told;
 
@@ -25,6 +27,41 @@
     id: BackendId,
     /// When it was said to be gone, or left out of a whole list.
     gone: Option<Instant>,
+    /// What was listed last, and where it listens.
+    last: Option<(BackendEntry, SocketAddr)>,
+}
+
+/// Somebody who knows a node that operators speak of.
+pub trait Listed {
+    /// What operators say of this node has changed.
+    fn changed(&self, name: &str);
+}
+
+/// What discovery lists, or operators say where that is stricter.
+fn stricter(mut entry: BackendEntry, out: bool) -> BackendEntry {
+    if out && entry.stage == Stage::Ready {
+        entry.stage = Stage::Draining;
+    }
+    entry
+}
+
+/// What it takes to tell of a node again.
+pub struct Retold {
+    pub known: Rc<Known>,
+    pub handle: Handle,
+    pub backends: Rc<Backends>,
+    pub desk: Rc<Desk>,
+}
+
+impl Listed for Retold {
+    fn changed(&self, name: &str) {
+        let last =
+            self.known.ids.borrow().get(name).filter(|n| n.gone.is_none()).and_then(|n| n.last.clone());
+        let Some((entry, dial)) = last else { return };
+        let entry = stricter(entry, self.desk.is_out(name));
+        self.backends.update(&entry, dial);
+        self.handle.backends(ListScope::Delta, vec![entry]);
+    }
 }
 
 fn called<'a>(ids: &'a BTreeMap<String, Named>, names: &'a Names) -> Called<'a> {
@@ -44,6 +81,8 @@
     /// The version of the list.
     pub seq: Option<u64>,
     pub known: Rc<Known>,
+    /// What operators say of nodes, where they are asked.
+    pub desk: Option<Rc<Desk>>,
 }
 
 /// What is known of a pool's nodes beside the list.
@@ -62,6 +101,13 @@
         self.lists.get()
     }
 
+    /// How many nodes are listed, and how many of them are out by hand.
+    pub fn counts(&self, desk: &Desk) -> (usize, usize) {
+        let ids = self.ids.borrow();
+        let listed = ids.iter().filter(|(_, n)| n.gone.is_none());
+        (listed.clone().count(), listed.filter(|(name, _)| desk.is_out(name)).count())
+    }
+
     /// Something to learn, at once where there is a list.
     pub fn teach(&self, told: Told, clock: Clock, names: &Names, handle: &Handle) {
         *self.told.borrow_mut() = Some(told);
@@ -100,7 +146,7 @@
         ready: Rc<Cell<bool>>,
     ) -> Roster {
         let heard = Rc::new(Cell::new(Instant::now()));
-        Roster { clock, names, handle, backends, ready, heard, seq: None, known: Rc::default() }
+        Roster { clock, names, handle, backends, ready, heard, seq: None, known: Rc::default(), desk: None }
     }
 
     /// Takes a list in, before anything else is sent.
@@ -109,8 +155,12 @@
         self.heard.set(Instant::now());
         let mut entries = Vec::with_capacity(list.hosts.len());
         for host in list.hosts {
-            let dial = host.dial;
+            let (dial, name) = (host.dial, host.host.clone());
             let entry = self.entry(host);
+            if let Some(named) = self.known.ids.borrow_mut().get_mut(&name) {
+                named.last = Some((entry.clone(), dial));
+            }
+            let entry = stricter(entry, self.desk.as_ref().is_some_and(|desk| desk.listed(&name)));
             self.backends.update(&entry, dial);
             entries.push(entry);
         }
@@ -163,7 +213,7 @@
             id = id.wrapping_add(1);
         }
         let id = BackendId(id);
-        ids.insert(host, Named { id, gone });
+        ids.insert(host, Named { id, gone, last: None });
         id
     }
 }
--- a/crates/proxy/src/platform.rs
+++ b/crates/proxy/src/platform.rs
@@ -2,12 +2,13 @@
 
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::rc::Rc;
 
 use config::{sockets_cut, HostList};
 use decide::interface::Micros;
 use decide::settings::{self, Site};
-use members::{Hold, Policy};
+use members::{Hold, Policy, Refused};
 use serde::Deserialize;
 use serde_json::value::RawValue;
 use tokio::net::TcpListener;
@@ -18,13 +19,17 @@
 use crate::backend::{Backends, DRAIN_MARGIN};
 use crate::clock::Clock;
 use crate::driver::Driver;
+use crate::figures::Figures;
 use crate::gate::Platform;
 use crate::ids::Ids;
+use crate::inbox::Handle;
 use crate::log::say;
-use crate::membership::{Discovery, Roster};
+use crate::maintenance::Desk;
+use crate::membership::{Discovery, Known, Retold, Roster};
 use crate::peers::Peers;
 use crate::process::{self, Signals};
 use crate::server::{self, Gate};
+use crate::{operators, passed};
 
 /// Taken for the time in which discovery must be asked where the settings say less, or nothing.
 const MUST_ASK_IN: Micros = 10_000_000;
@@ -32,6 +37,8 @@
 pub struct Config {
     pub listen: SocketAddr,
     pub discovery: SocketAddr,
+    /// Where operators call, if they do.
+    pub mgmt: Option<SocketAddr>,
     pub seed: u64,
     /// Sockets for callers.
     pub callers: usize,
@@ -47,6 +54,7 @@
 struct File<'a> {
     listen: SocketAddr,
     discovery: SocketAddr,
+    mgmt: Option<SocketAddr>,
     seed: String,
     #[serde(default)]
     limits: Limits,
@@ -70,6 +78,40 @@
     }
 }
 
+/// What operators call.
+pub struct Operations {
+    desk: Rc<Desk>,
+    figures: Rc<Figures>,
+    known: Rc<Known>,
+    handle: Handle,
+    ready: Rc<Cell<bool>>,
+    ending: Rc<Cell<bool>>,
+}
+
+impl Operations {
+    /// Does this process take clients?
+    pub fn is_serving(&self) -> bool {
+        self.ready.get() && !self.ending.get()
+    }
+
+    /// The figures as text.
+    pub async fn figures(&self) -> String {
+        let by_choice = self.handle.avoided().await;
+        let (listed, by_hand) = self.known.counts(&self.desk);
+        self.figures.text(listed, by_hand + by_choice)
+    }
+
+    /// Takes a backend out.
+    pub fn enter(&self, id: &str) -> Result<(), Refused> {
+        self.desk.enter(id)
+    }
+
+    /// Uses it again.
+    pub fn exit(&self, id: &str) -> Result<(), Refused> {
+        self.desk.exit(id)
+    }
+}
+
 impl Config {
     pub fn from_env() -> Result<Config, String> {
         let path = std::env::var_os("LB_CONFIG").ok_or("LB_CONFIG does not name a configuration file")?;
@@ -80,12 +122,14 @@
 
     fn parse(text: &str) -> Result<Config, String> {
         let file: File = serde_json::from_str(text).map_err(|e| format!("bad configuration: {e}"))?;
-        let (callers, backends) = sockets_cut(file.limits.sockets)
+        let own = if file.mgmt.is_some() { operators::SOCKETS } else { 0 };
+        let (callers, backends) = sockets_cut(file.limits.sockets.saturating_sub(own))
             .ok_or_else(|| format!("limits.sockets: too few to serve with: {}", file.limits.sockets))?;
         let site = settings::parse(file.settings.get())?;
         Ok(Config {
             listen: file.listen,
             discovery: file.discovery,
+            mgmt: file.mgmt,
             seed: u64::from_str_radix(&file.seed, 16)
                 .map_err(|_| format!("seed: not a 64-bit number in hex digits: {:?}", file.seed))?,
             callers,
@@ -103,8 +147,9 @@
 /// Why it could not start, in a line.
 pub fn run() -> Result<(), String> {
     let config = Config::from_env()?;
+    let passed = passed::listener()?;
     // A proxy has one core: more threads would only pass work between caches.
-    process::block_on(serve(config))
+    process::block_on(serve(config, passed))
 }
 
 /// On each SIGHUP reads the configuration again and tells of the address of discovery, all that a running
@@ -136,16 +181,25 @@
 }
 
 /// Runs until SIGTERM or SIGINT, and then until all that was taken has its answer.
-async fn serve(config: Config) -> Result<(), String> {
+async fn serve(config: Config, passed: Option<std::net::TcpListener>) -> Result<(), String> {
     let (mut signals, hangup) = Signals::new()?;
-    let listener = TcpListener::bind(config.listen)
-        .await
-        .map_err(|e| format!("cannot listen on {}: {e}", config.listen))?;
+    let shared = passed.is_some();
+    let fault = |at: SocketAddr| move |e| format!("cannot listen on {at}: {e}");
+    let listener = match passed {
+        Some(socket) => TcpListener::from_std(socket),
+        None => TcpListener::bind(config.listen).await,
+    };
+    let listener = listener.map_err(fault(config.listen))?;
+    let mgmt = match config.mgmt {
+        Some(at) => Some(TcpListener::bind(at).await.map_err(fault(at))?),
+        None => None,
+    };
     let address = listener.local_addr().map_err(|e| format!("cannot listen: {e}"))?;
     let site = config.site;
     let clock = Clock::new();
     let policy = watch_policy(&site);
-    let backends = Rc::new(Backends::new(site.transport, config.backends));
+    let figures = Rc::new(Figures::new(&site.names.classes));
+    let backends = Rc::new(Backends::new(site.transport, config.backends).counting(figures.tries()));
     let subscribe = Rc::new(Notify::new());
     let ready = Rc::new(Cell::new(false));
     let peers = match config.peers {
@@ -167,7 +221,28 @@
     }
     let (moved, address_of_discovery) = watch::channel(config.discovery);
     let names = Rc::new(RefCell::new(site.names.clone()));
-    let roster = Roster::new(clock, names, handle.clone(), Rc::clone(&backends), Rc::clone(&ready));
+    let mut roster = Roster::new(clock, names, handle.clone(), Rc::clone(&backends), Rc::clone(&ready));
+    let ending = Rc::new(Cell::new(false));
+    if let Some(mgmt) = mgmt {
+        let at = mgmt.local_addr().map_err(|e| format!("cannot listen: {e}"))?;
+        say(format_args!("operators: listening on {at}"));
+        let desk = Rc::new(Desk::new(std::env::var_os("TMPDIR").map(PathBuf::from)));
+        roster.desk = Some(Rc::clone(&desk));
+        let (known, handle, backends) = (Rc::clone(&roster.known), handle.clone(), Rc::clone(&backends));
+        let retold =
+            Retold { known: Rc::clone(&known), handle: handle.clone(), backends, desk: Rc::clone(&desk) };
+        desk.tell(Rc::new(retold));
+        let operations = Operations {
+            desk: Rc::clone(&desk),
+            figures: Rc::clone(&figures),
+            known,
+            handle,
+            ready: Rc::clone(&ready),
+            ending: Rc::clone(&ending),
+        };
+        spawn_local(async move { desk.follow().await });
+        spawn_local(operators::serve(mgmt, Rc::new(operations)));
+    }
     let discovery = Discovery {
         address: address_of_discovery,
         roster,
@@ -182,7 +257,17 @@
     spawn_local(reload(hangup, moved));
     say(format_args!("listening on {address}"));
     let router = Platform { handle, names: site.names, settings: site.settings, ready };
-    let gate = Gate { router: Rc::new(router), ids: Ids::default(), protocol: config::Protocol::Http };
-    server::run(gate, listener, config.callers, async move { signals.end().await }).await;
+    let gate = Gate {
+        router: Rc::new(router),
+        ids: Ids::default(),
+        protocol: config::Protocol::Http,
+        figures: Some(figures),
+        shared,
+    };
+    let stop = async move {
+        signals.end().await;
+        ending.set(true);
+    };
+    server::run(gate, listener, config.callers, stop).await;
     Ok(())
 }
--- a/crates/proxy/src/process.rs
+++ b/crates/proxy/src/process.rs
@@ -77,7 +77,8 @@
         let (ids, mut serving) = (Ids::default(), JoinSet::new());
         for (place, (listener, socket, address)) in self.0.into_iter().enumerate() {
             let protocol = listener.protocol;
-            let gate = Gate { router: router(listener, place), ids: ids.clone(), protocol };
+            let router = router(listener, place);
+            let gate = Gate { router, ids: ids.clone(), protocol, figures: None, shared: false };
             let mut stopped = stopped.clone();
             serving.spawn_local(server::run(gate, socket, callers, async move {
                 let _ = stopped.changed().await;
--- a/crates/proxy/src/request.rs
+++ b/crates/proxy/src/request.rs
@@ -14,6 +14,7 @@
 use tokio::time::{timeout_at, Instant};
 
 use crate::exchange::{remove_hop_by_hop, Answer, Called, Message, ID, KEY, MOST_BODY, TIMEOUT};
+use crate::figures::Tally;
 use crate::framing;
 use crate::gate::{one, Connection, Course, Router, Turned, Way};
 use crate::ids::{Claim, Ids};
@@ -146,6 +147,7 @@
     ids: &Ids,
     socket: &Socket,
     connection: &Connection,
+    tally: &Tally,
     request: Request<Incoming>,
 ) -> Result<Taken, Turned> {
     let began = socket.since().unwrap_or_else(Instant::now);
@@ -158,6 +160,7 @@
     }
     let body_most = body.size_hint().exact().unwrap_or(MOST_BODY as u64);
     let opened = open(router, connection, &mut head, body_most)?;
+    tally.is(opened.class);
     if head.method == Method::GET && body.size_hint().exact() != Some(0) {
         return Err(StatusCode::BAD_REQUEST.into());
     }
@@ -171,6 +174,7 @@
         }
     })?;
     let body = body.to_bytes();
+    tally.taken();
     // A caller sends one request at a time: what comes along with this one was miscounted or is hidden in it.
     let counted = (head_length + body.len()) as u64;
     if !chunked && socket.bytes_in() > counted || socket.unread() == Unread::Data {
--- a/crates/proxy/src/server/http.rs
+++ b/crates/proxy/src/server/http.rs
@@ -16,6 +16,7 @@
 
 use super::{serving, Caller, Callers, Gate};
 use crate::exchange::{Answer, MOST_BUFFER};
+use crate::figures::{Fate, Tally};
 use crate::gate::Turned;
 use crate::guard::caught;
 use crate::request::{self, Taken};
@@ -71,16 +72,27 @@
 
 async fn handle(callers: &Callers, caller: &Caller, request: Request<Incoming>) -> Reply {
     if request.uri().path() == "/healthz" {
-        let ready = !callers.ending.get() && callers.gate.router.is_ready();
+        let ready = (!callers.ending.get() || callers.gate.shared) && callers.gate.router.is_ready();
         return reply(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE });
     }
     let gate = &callers.gate;
     let received = Instant::now();
-    let answer = match request::read(&*gate.router, &gate.ids, &caller.socket, &caller.kept, request).await {
+    let tally = Tally::new(gate.figures.as_ref());
+    let read = request::read(&*gate.router, &gate.ids, &caller.socket, &caller.kept, &tally, request);
+    let answer = match read.await {
         Ok(Taken::Sound(sound)) => serving::serve(callers, *sound, received).await,
         Ok(Taken::Known(answer)) => answer,
-        Err(turned) => return turned_away(gate, turned),
+        Err(turned) => {
+            let refused = turned.status == StatusCode::TOO_MANY_REQUESTS;
+            tally.end(if refused { Fate::Refused } else { Fate::Failed });
+            return turned_away(gate, turned);
+        }
     };
+    tally.end(match answer {
+        Answer::Served(..) => Fate::Served,
+        Answer::Refused { .. } => Fate::Refused,
+        Answer::Failed | Answer::TimedOut => Fate::Failed,
+    });
     match answer {
         Answer::Served(headers, body) => {
             let mut reply = Response::new(Full::new(body));
--- a/crates/proxy/src/server/mod.rs
+++ b/crates/proxy/src/server/mod.rs
@@ -19,6 +19,7 @@
 use tokio::time::{timeout, Instant};
 
 use crate::exchange::MOST_BUFFER;
+use crate::figures::Figures;
 use crate::gate::{Connection, Router};
 use crate::ids::Ids;
 use crate::log::say;
@@ -52,6 +53,10 @@
     pub router: Rc<dyn Router>,
     pub ids: Ids,
     pub protocol: Protocol,
+    /// Where requests are counted.
+    pub figures: Option<Rc<Figures>>,
+    /// The listening socket is another process's as well, which goes on with it when this one ends.
+    pub shared: bool,
 }
 
 /// The open connections of callers.
@@ -120,9 +125,15 @@
         serving.as_secs_f64(),
         callers.all.borrow().len()
     ));
-    let _ = timeout(serving, accept(&callers, &listener, &mut accepted)).await;
-    // What the kernel has accepted by now is taken, too.
-    if let Ok(listener) = listener.into_std() {
+    if callers.gate.shared {
+        // Who comes from now on is the other process's, and who is here is sent there with the next answer.
+        drop(listener);
+        callers.all.borrow().values().for_each(|caller| caller.closing.set(true));
+        let _ = timeout(serving, callers.end()).await;
+    } else {
+        let _ = timeout(serving, accept(&callers, &listener, &mut accepted)).await;
+        // What the kernel has accepted by now is taken, too.
+        let Ok(listener) = listener.into_std() else { return };
         while let Ok((stream, _)) = listener.accept() {
             if let Ok(stream) = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream)) {
                 serve(&callers, stream, &mut accepted);
@@ -181,12 +192,19 @@
 impl Callers {
     /// What is left to callers once the front has them go elsewhere; None while new connections come.
     fn ways_in(&self) -> Option<WaysIn> {
-        self.ending.get().then(|| {
+        (self.ending.get() && !self.gate.shared).then(|| {
             let all = self.all.borrow();
             WaysIn { free: all.values().filter(|c| !c.busy.get()).count(), all: all.len() }
         })
     }
 
+    /// Waits until no connection is left.
+    async fn end(&self) {
+        while !self.all.borrow().is_empty() {
+            self.room.notified().await;
+        }
+    }
+
     /// Takes note of how long a client waits.
     fn waits(&self, patience: Duration) {
         self.wait.set(self.wait.get().max(patience.min(MOST_OF_WAIT)));
@@ -283,7 +301,13 @@
                 settings: site.settings,
                 ready: Rc::default(),
             };
-            let gate = Gate { router: Rc::new(router), ids: Ids::default(), protocol: Protocol::Http };
+            let gate = Gate {
+                router: Rc::new(router),
+                ids: Ids::default(),
+                protocol: Protocol::Http,
+                figures: None,
+                shared: false,
+            };
             let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
             let address = listener.local_addr().expect("bound");
             let (answered, answer) = oneshot::channel();
--- a/crates/proxy/src/socket.rs
+++ b/crates/proxy/src/socket.rs
@@ -13,6 +13,8 @@
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
+use crate::figures::Written;
+
 /// Read at a time by [`Socket::read_some`].
 const READ: usize = 16 << 10;
 
@@ -23,6 +25,8 @@
 struct Shared {
     stream: TcpStream,
     written: Cell<u64>,
+    /// Told of what is written.
+    counted: Written,
     /// What has come of the message that is being read; only where it is kept.
     incoming: Option<RefCell<Incoming>>,
     /// Held for as long as the descriptor is.
@@ -68,14 +72,26 @@
     pub fn new(stream: TcpStream, slot: Option<Slot>) -> Socket {
         // A message is one write, and none should wait for the acknowledgement of the one before.
         let _ = stream.set_nodelay(true);
-        Socket(Rc::new(Shared { stream, written: Cell::new(0), incoming: None, _slot: slot }))
+        Socket(Rc::new(Shared {
+            stream,
+            written: Cell::new(0),
+            counted: Written::default(),
+            incoming: None,
+            _slot: slot,
+        }))
     }
 
     /// One that keeps the first bytes of each message that comes, up to so many.
     pub fn keeping(stream: TcpStream, most: usize) -> Socket {
         let _ = stream.set_nodelay(true);
         let incoming = Some(RefCell::new(Incoming { most, ..Incoming::default() }));
-        Socket(Rc::new(Shared { stream, written: Cell::new(0), incoming, _slot: None }))
+        Socket(Rc::new(Shared {
+            stream,
+            written: Cell::new(0),
+            counted: Written::default(),
+            incoming,
+            _slot: None,
+        }))
     }
 
     /// What came first of this message; it is kept no longer.
@@ -117,6 +133,11 @@
         .await
     }
 
+    /// Counts messages as they are written.
+    pub fn counted(&self) -> &Written {
+        &self.0.counted
+    }
+
     /// Bytes that the kernel has taken for sending up to now.
     pub fn written(&self) -> u64 {
         self.0.written.get()
@@ -178,6 +199,7 @@
             match self.0.stream.try_write_vectored(parts) {
                 Ok(n) => {
                     self.0.written.set(self.0.written.get() + n as u64);
+                    self.0.counted.wrote();
                     return Poll::Ready(Ok(n));
                 }
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
--- /dev/null
+++ b/tests/operations.rs
@@ -0,0 +1,193 @@
+//! What operators ask of a proxy in service: an address of their own, true figures, backends out by hand, a process that
+//! takes over from another.
+mod stubs;
+
+use std::io::{Read, Write};
+use std::net::TcpStream;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use stubs::*;
+
+/// A proxy with an address for operators, and its discovery.
+fn start(backends: &[&Backend]) -> (Process, Discovery, Held) {
+    let (discovery, held) = (Discovery::new(), Held::new());
+    let config = with_operators(&Setup::of(backends).config(discovery.address));
+    (held.start(&config), discovery, held)
+}
+
+fn ask(process: &Process, held: &Held, request: &str) -> Heard {
+    assert!(process.id() > 0);
+    Caller::of(TcpStream::connect(held.address).expect("somebody listens")).ask(request)
+}
+
+#[test]
+fn each_call_of_an_operator_has_its_answer() {
+    let backend = Backend::new([]);
+    let (process, ..) = start(&[&backend]);
+    let long = "x".repeat(300);
+    for (method, path, body, status) in [
+        ("GET", "/status", "", 200),
+        ("GET", "/status/metrics", "", 200),
+        ("POST", "/status", "", 405),
+        ("GET", "/maintenance/enter", "", 405),
+        ("GET", "/", "", 404),
+        ("POST", "/maintenance", "s-0", 404),
+        ("POST", "/maintenance/enter", "", 400),
+        ("POST", "/maintenance/enter", &long, 400),
+        ("POST", "/maintenance/exit", "s-9", 404),
+        ("POST", "/maintenance/enter", "s-9", 404),
+        ("POST", "/maintenance/enter", "s-0\n", 200),
+        ("POST", "/maintenance/enter", "s-0", 200),
+        ("POST", "/maintenance/exit", "s-0", 200),
+        ("POST", "/maintenance/exit", "s-0", 200),
+    ] {
+        assert_eq!(process.call(method, path, body).0, status, "{method} {path} {body:.9}");
+    }
+}
+
+#[test]
+fn who_hangs_on_the_operators_address_keeps_nobody_out() {
+    let backend = Backend::new([]);
+    let (process, ..) = start(&[&backend]);
+    let at = process.operators();
+    let mut hanging: Vec<TcpStream> = Vec::new();
+    for n in 0..40 {
+        let mut stream = TcpStream::connect(at).expect("it listens");
+        stream.write_all(&b"POST /maintenance/enter HTTP/1.1\r\nHost: a\r\n"[..n]).expect("written");
+        hanging.push(stream);
+        assert_eq!(process.call("GET", "/status", "").0, 200, "beside {n}");
+    }
+    // A call byte by byte is one all the same.
+    let mut slow = TcpStream::connect(at).expect("it listens");
+    slow.set_nodelay(true).expect("set");
+    for byte in b"POST /maintenance/enter HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\ns-0" {
+        slow.write_all(&[*byte]).expect("written");
+    }
+    let mut answer = String::new();
+    slow.read_to_string(&mut answer).expect("text, and the end");
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+}
+
+#[test]
+fn a_backend_out_by_hand_gets_nothing_until_it_is_put_back_whatever_is_listed() {
+    let (first, second) = (Backend::new(vec![ok("1"); 99]), Backend::new(vec![ok("2"); 99]));
+    let (process, discovery, held) = start(&[&first, &second]);
+    let asks = |n: usize, what: &str| {
+        for i in 0..n {
+            assert_eq!(ask(&process, &held, &read(&format!("{what}-{i}"), 9000)).status(), 200);
+        }
+    };
+    assert_eq!(process.call("POST", "/maintenance/enter", "s-0").0, 200);
+    asks(10, "out");
+    assert_eq!((first.requests().len(), second.requests().len()), (0, 10));
+    assert_eq!((process.figure("edge_lb_pool_size"), process.figure("edge_lb_pool_ejected")), (2, 1));
+    // Discovery lists it anew, and the whole list once more.
+    discovery.tell(News::List(list(2, false, &[host("s-0", first.address, "SERVING")])));
+    let hosts = [host("s-0", first.address, "SERVING"), host("s-1", second.address, "SERVING")];
+    discovery.tell(News::List(list(3, true, &hosts)));
+    // The third call is made once both are taken in.
+    discovery.call(2);
+    asks(10, "listed");
+    assert_eq!(first.requests().len(), 0);
+    assert_eq!(process.call("POST", "/maintenance/exit", "s-0").0, 200);
+    assert_eq!(process.figure("edge_lb_pool_ejected"), 0);
+    let since = Instant::now();
+    for i in 0.. {
+        asks(1, &format!("back-{i}"));
+        if !first.requests().is_empty() {
+            break;
+        }
+        assert!(since.elapsed() < PATIENCE, "it is used again");
+    }
+}
+
+#[test]
+fn figures_agree_with_what_callers_and_backends_saw() {
+    let backend = Backend::new([ok("1"), answer("500 Internal Server Error", "", ""), ok("2"), ok("3")]);
+    let (process, _discovery, held) = start(&[&backend]);
+    let mut seen = [0; 600];
+    for i in 0..3 {
+        seen[usize::from(ask(&process, &held, &read(&format!("r-{i}"), 9000)).status())] += 1;
+    }
+    // Turned away with its class known, and with none.
+    let bad = read("bad", 9000).replace("GET", "POST");
+    seen[usize::from(ask(&process, &held, &bad).status())] += 1;
+    ask(&process, &held, &read("nobody", 9000).replace("read", "nobodys"));
+    let tries = backend.requests().len() as u64;
+    assert_eq!(process.figure("edge_lb_tries_total"), tries);
+    let of = |name: &str, kind: &str| process.figure(&format!("edge_lb_{name}_total{{kind=\"{kind}\"}}"));
+    assert_eq!((of("ok", "read"), seen[200]), (3, 3));
+    // The route itself says that this class is not asked for in that way, before the request is one of it.
+    assert_eq!((of("errors", "read") + of("errors", "write") + of("shed", "read"), seen[405]), (0, 1));
+    assert_eq!(process.figure("edge_lb_active"), 0);
+    // One that is open, and whose caller then leaves.
+    let silent = Backend::new([Deed::Silence]);
+    let (process, _discovery, held) = start(&[&silent]);
+    let mut caller = Caller::of(TcpStream::connect(held.address).expect("it listens"));
+    caller.send(&read("open", 9000));
+    process.figure_becomes("edge_lb_tries_total", 1);
+    assert_eq!(process.figure("edge_lb_active"), 1);
+    drop(caller);
+    process.figure_becomes("edge_lb_active", 0);
+    assert_eq!(process.figure("edge_lb_errors_total{kind=\"read\"}"), 1);
+}
+
+#[test]
+fn a_process_takes_over_with_the_socket_and_what_is_out_by_hand() {
+    let (first, second) = (Backend::new(vec![ok("1"); 999]), Backend::new(vec![ok("2"); 999]));
+    let discovery = Discovery::new();
+    let held = Held::new();
+    let config = with_operators(&Setup::of(&[&first, &second]).config(discovery.address));
+    let mut old = held.start(&config);
+    assert_eq!(old.call("POST", "/maintenance/enter", "s-0").0, 200);
+    let mut kept = Caller::of(TcpStream::connect(held.address).expect("it listens"));
+    assert_eq!(kept.ask(&read("kept-1", 9000)).status(), 200);
+    // Another stays open for as long as the old one lets it.
+    let mut idle = Caller::of(TcpStream::connect(held.address).expect("it listens"));
+    assert_eq!(idle.ask(&read("idle", 9000)).status(), 200);
+
+    let new = held.start(&config);
+    assert_eq!(new.call("GET", "/status", "").0, 200);
+    assert_eq!(new.figure("edge_lb_pool_ejected"), 1, "handed on");
+    old.terminate();
+    old.says("told to end");
+    // The connection that stands is answered, told to leave, and then closed; the next is the new one's.
+    let last = kept.ask(&read("kept-2", 9000));
+    assert_eq!((last.status(), last.header("Connection")), (200, Some("close")));
+    for i in 0..50 {
+        assert_eq!(ask(&new, &held, &read(&format!("new-{i}"), 9000)).status(), 200);
+    }
+    assert_eq!(first.requests().len(), 0);
+    assert_eq!(old.call("GET", "/status", "").0, 503, "it takes no clients");
+    // Put back through the new one while the old one may still serve: its word counts for both.
+    assert_eq!(new.call("POST", "/maintenance/exit", "s-0").0, 200);
+    old.figure_becomes("edge_lb_pool_ejected", 0);
+    drop(idle);
+    assert!(old.end().success());
+    let since = Instant::now();
+    for i in 0.. {
+        assert_eq!(ask(&new, &held, &read(&format!("back-{i}"), 9000)).status(), 200);
+        if !first.requests().is_empty() {
+            break;
+        }
+        assert!(since.elapsed() < PATIENCE, "it is used again");
+        thread::sleep(Duration::from_millis(1));
+    }
+}
+
+#[test]
+fn a_descriptor_that_is_no_listening_socket_ends_the_program_with_a_line() {
+    let config = Setup::of(&[]).config(nobody());
+    for named in ["3", "x", "", "1", "99999999999999999999"] {
+        let path = folder().join("lb.json");
+        std::fs::write(&path, &config).expect("written");
+        let mut command = std::process::Command::new(env!("CARGO_BIN_EXE_amberlever"));
+        let ended = command.env("LB_CONFIG", &path).env("LB_PASSED_SOCKET", named).output().expect("it runs");
+        let said = String::from_utf8_lossy(&ended.stderr).into_owned();
+        assert!(
+            !ended.status.success() && said.contains("LB_PASSED_SOCKET") && said.lines().count() == 1,
+            "{said}"
+        );
+    }
+}
--- a/tests/stubs/mod.rs
+++ b/tests/stubs/mod.rs
@@ -122,7 +122,10 @@
         errors.read_line(&mut line).expect("text");
         let log = Arc::<Mutex<String>>::default();
         // What is told of a state comes first.
-        while ["version ", "state: ", "knowledge: ", "bgp: "].iter().any(|word| line.starts_with(word)) {
+        while ["version ", "state: ", "knowledge: ", "bgp: ", "operators: ", "maintenance: "]
+            .iter()
+            .any(|word| line.starts_with(word))
+        {
             log.lock().expect("unpoisoned").push_str(&line);
             line.clear();
             errors.read_line(&mut line).expect("text");
@@ -188,6 +191,38 @@
     }
 }
 
+/// A listening socket that is held for proxies, and a folder that they share.
+pub struct Held {
+    listener: std::net::TcpListener,
+    pub address: SocketAddr,
+    pub folder: PathBuf,
+}
+
+impl Held {
+    pub fn new() -> Held {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+        let address = listener.local_addr().expect("bound");
+        Held { listener, address, folder: folder() }
+    }
+
+    /// Starts a proxy that inherits the socket as descriptor 3.
+    #[track_caller]
+    pub fn start(&self, config: &str) -> Process {
+        let path = kept(config);
+        let held = std::os::fd::OwnedFd::from(self.listener.try_clone().expect("another descriptor"));
+        let mut command = Command::new("sh");
+        command.args(["-c", "exec \"$0\" 3<&0 </dev/null", env!("CARGO_BIN_EXE_amberlever")]);
+        command.env("LB_CONFIG", &path).env("LB_PASSED_SOCKET", "3").env("TMPDIR", &self.folder);
+        command.stdin(Stdio::from(held)).stdout(Stdio::null()).stderr(Stdio::piped());
+        Process::watch(command.spawn().expect("the proxy starts"), path)
+    }
+}
+
+/// The form of a configuration with an address for operators.
+pub fn with_operators(config: &str) -> String {
+    config.replacen('{', "{\"mgmt\":\"127.0.0.1:0\",", 1)
+}
+
 /// A running proxy.
 pub struct Process {
     pub address: SocketAddr,
@@ -202,6 +237,42 @@
         Caller::of(TcpStream::connect(self.address).expect("the proxy listens"))
     }
 
+    /// Where operators call it.
+    pub fn operators(&self) -> SocketAddr {
+        let log = self.log();
+        let line = log.lines().find_map(|l| l.strip_prefix("operators: listening on "));
+        line.expect("an address for operators").parse().expect("an address")
+    }
+
+    /// A call of an operator: the status and the body.
+    #[track_caller]
+    pub fn call(&self, method: &str, path: &str, body: &str) -> (u16, String) {
+        let mut caller = Caller::of(TcpStream::connect(self.operators()).expect("it listens"));
+        let length = body.len();
+        let answer = caller
+            .ask(&format!("{method} {path} HTTP/1.1\r\nHost: a\r\nContent-Length: {length}\r\n\r\n{body}"));
+        (answer.status(), String::from_utf8_lossy(&answer.body).into_owned())
+    }
+
+    /// A figure, by its name and labels.
+    #[track_caller]
+    pub fn figure(&self, name: &str) -> u64 {
+        let (status, text) = self.call("GET", "/status/metrics", "");
+        assert_eq!(status, 200);
+        let line = text.lines().find_map(|l| l.strip_prefix(name)?.strip_prefix(' '));
+        line.unwrap_or_else(|| panic!("no {name} in {text}")).parse().expect("a whole number")
+    }
+
+    /// Waits until a figure is so.
+    #[track_caller]
+    pub fn figure_becomes(&self, name: &str, wanted: u64) {
+        let since = Instant::now();
+        while self.figure(name) != wanted {
+            assert!(since.elapsed() < PATIENCE, "{name} is {}, not {wanted}", self.figure(name));
+            thread::sleep(Duration::from_millis(5));
+        }
+    }
+
     /// One request on a connection of its own.
     pub fn ask(&self, request: &str) -> Heard {
         self.caller().ask(request)
