--- a/crates/decide/src/choice.rs
+++ b/crates/decide/src/choice.rs
@@ -162,6 +162,7 @@
     most_attempts: usize,
     until: Micros,
     streaming: bool,
+    came_slowly: bool,
     /// It has its final answer, and only its attempts are still to end.
     answered: bool,
     attempts: Vec<Attempt>,
@@ -298,9 +299,9 @@
                     r.streaming = true;
                 }
             }
-            Event::Outcome { request, attempt, backend, outcome, is_final, report, .. } => {
+            Event::Outcome { request, attempt, backend, outcome, took, is_final, report } => {
                 self.on_report(now, backend, report);
-                if let Some((b, figure)) = self.on_end(now, request, attempt, outcome) {
+                if let Some((b, figure)) = self.on_end(now, request, attempt, outcome, took) {
                     self.tell(b, figure, out);
                     self.on_outcome(now, request, outcome, is_final, out);
                 }
@@ -546,15 +547,17 @@
         self.retry_tokens = (self.retry_tokens + RETRY_SHARE).min(10.0);
         let row = self.row(now, r);
         let class = &self.s.classes[r.class];
-        let deadline = now + r.time_left.clamp(0, TIME_LIMIT);
+        let whole = now + r.coming.clamp(0, TIME_LIMIT);
+        let deadline = whole + r.time_left.clamp(0, TIME_LIMIT);
         // Past its aim an answer is worth nothing here, and waiting longer only loads the servers.
-        let until = if class.late_value > 0.0 { deadline } else { deadline.min(now + class.aim) };
+        let until = if class.late_value > 0.0 { deadline } else { deadline.min(whole + class.aim) };
         let request = Request {
             class: r.class,
             allowed: r.allowed.clone(),
             most_attempts: if r.attempts == 0 { usize::MAX } else { r.attempts },
             until,
             streaming: false,
+            came_slowly: r.coming > 0,
             answered: false,
             attempts: Vec::new(),
         };
@@ -724,13 +727,21 @@
 
     /// Books the end of an attempt: its server, and what it tells of load. None where it was never made or
     /// has ended before.
-    fn on_end(&mut self, now: Micros, id: RequestId, nth: usize, outcome: Outcome) -> Option<(usize, u8)> {
+    fn on_end(
+        &mut self,
+        now: Micros,
+        id: RequestId,
+        nth: usize,
+        outcome: Outcome,
+        took: Micros,
+    ) -> Option<(usize, u8)> {
         let request = self.requests.get_mut(&id)?;
         let a = request.attempts.get_mut(nth).filter(|a| a.running)?;
         a.running = false;
         a.may_have_run = !outcome.never_ran();
         let (b, class, sent) = (a.backend, request.class, a.sent);
-        let took = (now - sent) as f64;
+        // Where the request itself took time to come, what its server took is less.
+        let took = if request.came_slowly { took.clamp(0, now - sent) } else { now - sent } as f64;
         let aim = self.aims[class];
         self.inflight = self.inflight.saturating_sub(1);
         let backend = &mut self.backends[b];
--- a/crates/decide/src/interface.rs
+++ b/crates/decide/src/interface.rs
@@ -356,6 +356,8 @@
     pub allowed: Option<Arc<Allowed>>,
     /// The attempts that it may have, where that is less than the settings say; 0 says nothing.
     pub attempts: usize,
+    /// Its body is still on its way, for this long at most; its time counts from then.
+    pub coming: Micros,
     /// The connections that callers have left, where they get no new ones.
     pub ways_in: Option<WaysIn>,
 }
--- a/crates/proxy/src/backend/mod.rs
+++ b/crates/proxy/src/backend/mod.rs
@@ -6,14 +6,14 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
+use std::future::pending;
 use std::net::SocketAddr;
 use std::rc::{Rc, Weak};
 use std::time::Duration;
 
-use bytes::Bytes;
 use decide::interface::*;
 use decide::settings::{Field, Transport};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::{self, HeaderValue};
@@ -23,10 +23,11 @@
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::task::{spawn_local, AbortHandle};
-use tokio::time::{timeout_at, Instant};
+use tokio::time::{sleep_until, timeout_at, Instant};
 
 use self::link::{is_over, End, RpcLink};
 use crate::exchange::{remove_hop_by_hop, Ended, Message, MOST_BODY, MOST_BUFFER, TIMEOUT};
+use crate::flow::{self, Content, Cut, Flow, Gathered, MayFlow};
 use crate::log::say;
 use crate::mapping;
 use crate::socket::{Slot, Socket, Unread};
@@ -36,6 +37,9 @@
 const KEPT_IDLE: f64 = 0.75;
 /// The last part of the drain grace in which nothing is begun.
 pub const DRAIN_MARGIN: Duration = Duration::from_millis(150);
+/// An answer that may be asked for again if it breaks off is gathered for this long. Longer spares more callers a broken
+/// answer, and holds back the first bytes of slow ones.
+const GATHERED: Duration = Duration::from_millis(100);
 /// How long a probe may take once it is connected.
 const PROBE_TIME: Duration = Duration::from_secs(1);
 
@@ -50,6 +54,8 @@
     pub backend: BackendId,
     pub message: Rc<Message>,
     pub until: Instant,
+    /// How long the caller waits once its request has come whole, where that flows.
+    pub patience: Option<Duration>,
 }
 
 pub struct Backends {
@@ -111,7 +117,7 @@
 
 /// A connection. Dropping it closes it.
 pub struct Link {
-    sender: SendRequest<Full<Bytes>>,
+    sender: SendRequest<Content>,
     socket: Socket,
     task: AbortHandle,
 }
@@ -379,7 +385,7 @@
     // ---- Attempts ----
 
     /// Makes an attempt: how it ended, and the connection if that can serve again.
-    pub async fn attempt(&self, order: &Order) -> (Ended, Option<Link>) {
+    pub async fn attempt(self: &Rc<Self>, order: &Order) -> (Ended, Option<Link>) {
         if let Some(speech) = &self.speech {
             let progress = Rc::new(Cell::new(0));
             let ended = timeout_at(order.until, self.call(order, speech, &progress)).await;
@@ -387,12 +393,28 @@
             return (ended.unwrap_or_else(|_| late.into()), None);
         }
         let written = Cell::new(false);
-        match timeout_at(order.until, self.exchange(order, &written)).await {
-            Ok(result) => result,
+        let flow = order.message.body().flow();
+        let late = async {
+            match (flow, order.patience) {
+                // The caller's time counts from the last byte that it sent.
+                (Some(flow), Some(patience)) => sleep_until(flow.end_of_it().await + patience).await,
+                _ => pending().await,
+            }
+        };
+        let result = tokio::select! {
+            result = timeout_at(order.until, self.exchange(order, &written)) => result.ok(),
+            () = late => None,
+        };
+        let (mut ended, link) = match result {
+            Some(result) => result,
             // Nothing was sent, so nothing ran: the time went in connecting.
-            Err(_) if !written.get() => (Outcome::Moot.into(), None),
-            Err(_) => (Outcome::Timeout.into(), None),
-        }
+            None if !written.get() => (Outcome::Moot.into(), None),
+            // A backend begins once it has the last byte.
+            None if flow.is_some_and(|f| f.ended().is_none()) => (Outcome::Moot.into(), None),
+            None => (Outcome::Timeout.into(), None),
+        };
+        ended.since = flow.and_then(|f| f.ended());
+        (ended, link)
     }
 
     /// Keeps a connection for the next request, once it is free for one.
@@ -404,7 +426,7 @@
         }
     }
 
-    async fn exchange(&self, order: &Order, written: &Cell<bool>) -> (Ended, Option<Link>) {
+    async fn exchange(self: &Rc<Self>, order: &Order, written: &Cell<bool>) -> (Ended, Option<Link>) {
         loop {
             // A connection costs the backend work.
             if self.is_held() {
@@ -429,11 +451,22 @@
             message.headers_mut().insert(TIMEOUT, left);
             written.set(true);
             let before = link.socket.written();
-            link.socket.counted().at_next_write(&self.tries);
+            match order.message.body().flow() {
+                None => link.socket.counted().at_next_write(&self.tries),
+                Some(flow) => {
+                    let (socket, tries) = (link.socket.clone(), self.tries.clone());
+                    flow.at_end(move || socket.counted().at_next_write(&tries));
+                }
+            }
             let response = match link.sender.try_send_request(message).await {
                 Ok(response) => response,
                 Err(mut e) => {
                     link.socket.counted().not();
+                    if let Some(flow) = order.message.body().flow().filter(|flow| flow.is_begun()) {
+                        // Without its last byte a backend begins nothing; and what was read is gone.
+                        let whole = flow.ended().is_some();
+                        return (if whole { Outcome::Reset } else { Outcome::Moot }.into(), None);
+                    }
                     // Given back, or not a byte of it taken by the kernel: it cannot have run.
                     if e.take_message().is_none() && link.socket.written() > before {
                         return (Outcome::Reset.into(), None);
@@ -446,7 +479,7 @@
                     continue;
                 }
             };
-            return self.read(response, link).await;
+            return self.read(order, response, link).await;
         }
     }
 
@@ -473,7 +506,9 @@
             }
             return match end {
                 End::Result(result) => {
-                    Ended { outcome: Outcome::Ok, report: None, answer: Some(mapping::answer_of(&result)) }
+                    let (headers, body) = mapping::answer_of(&result);
+                    let answer = Some((headers, body.into()));
+                    Ended { outcome: Outcome::Ok, report: None, answer, since: None }
                 }
                 End::Error(jsonrpc::code::NOT_PROCESSED) => Outcome::Full.into(),
                 End::Error(_) => Outcome::Error.into(),
@@ -488,30 +523,49 @@
         }
     }
 
-    async fn read(&self, response: Response<Incoming>, link: Link) -> (Ended, Option<Link>) {
+    async fn read(
+        self: &Rc<Self>,
+        order: &Order,
+        response: Response<Incoming>,
+        link: Link,
+    ) -> (Ended, Option<Link>) {
         let (head, body) = response.into_parts();
         let report = head.headers.get_all(LOAD_HEADER).iter().find_map(|v| self.report(v.as_bytes()));
         let turned_away = head.headers.get(NOT_PROCESSED).is_some_and(|v| v == "1");
-        let body = Limited::new(body, MOST_BODY).collect().await;
+        let may_flow = head.status == StatusCode::OK && order.message.extensions().get::<MayFlow>().is_some();
+        let body = if may_flow {
+            // Small ones that come at once are whole, and may be asked for again; others go on as they come.
+            flow::gather(body, MOST_BODY, Instant::now() + GATHERED).await
+        } else {
+            let whole = Limited::new(body, MOST_BODY).collect().await;
+            whole.map(|b| Gathered::Whole(b.to_bytes())).map_err(|_| Cut::Broken)
+        };
         let outcome = match head.status {
             StatusCode::OK if body.is_err() => Outcome::Reset,
             StatusCode::OK => Outcome::Ok,
             StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if turned_away => Outcome::Full,
             _ => Outcome::Error,
         };
-        match body {
-            Ok(body) => {
-                let mut answer = None;
-                if outcome == Outcome::Ok {
-                    let mut headers = head.headers;
-                    remove_hop_by_hop(&mut headers);
-                    headers.remove(LOAD_HEADER);
-                    answer = Some((headers, body.to_bytes()));
-                }
-                (Ended { outcome, report, answer }, Some(link))
+        let Ok(body) = body else {
+            return (Ended { outcome, report, answer: None, since: None }, None);
+        };
+        let (content, link) = match body {
+            Gathered::Whole(body) => (body.into(), Some(link)),
+            Gathered::Part(first, rest) => {
+                let flow = Rc::new(Flow::of_answer(rest, first));
+                // Kept open until then; dropped with the body, it ends there.
+                let (backends, id) = (Rc::clone(self), order.backend);
+                flow.at_end(move || drop(spawn_local(async move { backends.reuse(id, Some(link)).await })));
+                (Content::Flowing(flow), None)
             }
-            Err(_) => (Ended { outcome, report, answer: None }, None),
-        }
+        };
+        let answer = (outcome == Outcome::Ok).then(|| {
+            let mut headers = head.headers;
+            remove_hop_by_hop(&mut headers);
+            headers.remove(LOAD_HEADER);
+            (headers, content)
+        });
+        (Ended { outcome, report, answer, since: None }, link)
     }
 
     /// A load report: an object of numbers. A malformed one is passed over, and so is one with an absurd figure,
@@ -544,7 +598,7 @@
             Ok(link) => link,
             Err(outcome) => return outcome.into(),
         };
-        let mut request = Request::new(Full::default());
+        let mut request = Request::new(Content::default());
         *request.method_mut() = Method::GET;
         *request.uri_mut() = hyper::Uri::from_static("/load");
         request.headers_mut().insert(header::HOST, HeaderValue::from_static("backend"));
@@ -564,7 +618,7 @@
                 StatusCode::SERVICE_UNAVAILABLE => Outcome::Full,
                 _ => Outcome::Error,
             };
-            Ended { outcome, report: self.report(json), answer: None }
+            Ended { outcome, report: self.report(json), answer: None, since: None }
         };
         let limit = Instant::now() + PROBE_TIME;
         timeout_at(limit, exchange).await.unwrap_or_else(|_| Outcome::Timeout.into())
--- a/crates/proxy/src/driver.rs
+++ b/crates/proxy/src/driver.rs
@@ -14,7 +14,7 @@
 
 use crate::backend::{Backends, Order};
 use crate::clock::Clock;
-use crate::exchange::{Answer, Attempts, Ended, Message};
+use crate::exchange::{Answer, Attempts, Ended, Message, Patience};
 use crate::inbox::{Handle, Input};
 use crate::log::say;
 use crate::peers::Peers;
@@ -158,7 +158,9 @@
         let Some(open) = self.open.get_mut(&id) else { return };
         let Some(attempt) = open.attempts.get_mut(nth).filter(|a| a.task.is_some()) else { return };
         attempt.task = None;
-        let (backend, sent) = (attempt.backend, attempt.sent);
+        // What a body took to come is its caller's time, not the backend's.
+        let since = ended.since.map(|at| self.clock.at(at));
+        let (backend, sent) = (attempt.backend, since.map_or(attempt.sent, |at| at.max(attempt.sent)));
         open.timed_out = ended.outcome == Outcome::Timeout;
         open.may_have_run |= !ended.outcome.never_ran();
         let is_final = ended.answer.is_some();
@@ -240,7 +242,9 @@
         let attempt = open.attempts.len();
         open.begun.begin();
         let mut ending = Ending { handle: self.handle.clone(), request, attempt, said: false };
-        let order = Order { backend, message: open.message.clone(), until: self.clock.instant(until) };
+        let patience = open.message.extensions().get::<Patience>().map(|p| p.0);
+        let until = self.clock.instant(until);
+        let order = Order { backend, message: open.message.clone(), until, patience };
         let backends = self.backends.clone();
         let task = spawn_local(async move {
             let (ended, link) = backends.attempt(&order).await;
--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -4,14 +4,17 @@
 use std::cell::Cell;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use decide::interface::*;
-use http_body_util::Full;
 use hyper::header::{self, HeaderName};
 use hyper::{HeaderMap, Request};
+use tokio::time::Instant;
 
-/// The largest body of a request or an answer.
+use crate::flow::Content;
+
+/// The largest body that is held whole, and so can be sent a second time; a larger one flows where it may, or is turned away.
 pub const MOST_BODY: usize = 64 << 10;
 /// The largest head of a message, in bytes, and so about what a connection takes of the memory.
 pub const MOST_BUFFER: usize = 16 << 10;
@@ -23,7 +26,11 @@
 pub const TIMEOUT: &str = "x-timeout-ms";
 
 /// A request as it goes to a backend.
-pub type Message = Request<Full<Bytes>>;
+pub type Message = Request<Content>;
+
+/// How long a caller waits for the answer once the request has come whole; goes along where that flows.
+#[derive(Clone, Copy, Debug)]
+pub struct Patience(pub Duration);
 
 /// How a request stands in JSON-RPC; goes along as an extension of its message.
 #[derive(Clone, Debug)]
@@ -53,8 +60,8 @@
 /// The final answer to a caller.
 #[derive(Debug)]
 pub enum Answer {
-    /// A backend's answer, whole.
-    Served(HeaderMap, Bytes),
+    /// A backend's answer, whole or flowing.
+    Served(HeaderMap, Content),
     /// Refused by the decisions: trying again there is harmless.
     Refused {
         /// After this time, if it is not 0.
@@ -73,12 +80,14 @@
     pub outcome: Outcome,
     pub report: Option<Report>,
     /// With an attempt's [`Outcome::Ok`]: the answer.
-    pub answer: Option<(HeaderMap, Bytes)>,
+    pub answer: Option<(HeaderMap, Content)>,
+    /// When the backend had all of the request, where that took time.
+    pub since: Option<Instant>,
 }
 
 impl From<Outcome> for Ended {
     fn from(outcome: Outcome) -> Self {
-        Ended { outcome, report: None, answer: None }
+        Ended { outcome, report: None, answer: None, since: None }
     }
 }
 
--- a/crates/proxy/src/gate.rs
+++ b/crates/proxy/src/gate.rs
@@ -51,6 +51,11 @@
         false
     }
 
+    /// May bodies flow that are larger than what is held whole?
+    fn flows(&self) -> bool {
+        false
+    }
+
     /// Is `Retry-After` in whole seconds, as ordinary clients read it?
     fn whole_seconds(&self) -> bool;
 }
@@ -191,6 +196,10 @@
         self.settings.may_end_alone()
     }
 
+    fn flows(&self) -> bool {
+        true
+    }
+
     fn whole_seconds(&self) -> bool {
         false
     }
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod driver;
 pub mod exchange;
 mod figures;
+pub mod flow;
 mod framing;
 pub mod gate;
 mod guard;
--- a/crates/proxy/src/once.rs
+++ b/crates/proxy/src/once.rs
@@ -65,7 +65,7 @@
         let turned = |status, cause, retry_after| Err(Turned { status, cause: Some(cause), retry_after });
         match begun {
             Begin::New(ticket) => Ok(Met::New(Held { once: self, ticket, served: false })),
-            Begin::Answered((headers, body)) => Ok(Met::Again(Answer::Served(headers, body))),
+            Begin::Answered((headers, body)) => Ok(Met::Again(Answer::Served(headers, body.into()))),
             Begin::Open => turned(StatusCode::CONFLICT, OPEN, AGAIN),
             Begin::Done => turned(StatusCode::CONFLICT, DONE, 0),
             Begin::Full(until) => turned(StatusCode::TOO_MANY_REQUESTS, FULL, until),
@@ -84,10 +84,12 @@
     /// Its request has this answer.
     pub fn answered(&mut self, answer: &Answer) {
         let Answer::Served(headers, body) = answer else { return };
+        // One that flows is not held, and never is where keys are.
+        let Some(body) = body.whole() else { return };
         self.served = true;
         let bytes =
             headers.iter().map(|(n, v)| HEADER + n.as_str().len() + v.len()).sum::<usize>() + body.len();
-        let (now, answer) = (self.once.table.clock.now(), (headers.clone(), body.clone()));
+        let (now, answer) = (self.once.table.clock.now(), (headers.clone(), body));
         self.once.table.keys.borrow_mut().served(now, self.ticket, answer, bytes, self.once.window);
     }
 }
--- a/crates/proxy/src/request.rs
+++ b/crates/proxy/src/request.rs
@@ -4,17 +4,16 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use decide::interface::*;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
 use hyper::header::{self, HeaderValue};
 use hyper::http::request::Parts;
 use hyper::{Method, Request, StatusCode};
-use tokio::time::{timeout_at, Instant};
+use tokio::time::Instant;
 
-use crate::exchange::{remove_hop_by_hop, Answer, Called, Message, ID, KEY, MOST_BODY, TIMEOUT};
+use crate::exchange::{remove_hop_by_hop, Answer, Called, Message, Patience, ID, KEY, MOST_BODY, TIMEOUT};
 use crate::figures::Tally;
+use crate::flow::{self, Content, Flow, Gathered, MayFlow, MOST_FLOW};
 use crate::framing;
 use crate::gate::{one, Connection, Course, Router, Turned, Way};
 use crate::ids::{Claim, Ids};
@@ -62,6 +61,8 @@
     pub class: usize,
     /// How long the client waits.
     pub patience: Duration,
+    /// Its answer may flow.
+    flows: bool,
 }
 
 /// Checks a head whole, and finds its way. `body_most` is the most bytes that its body may take.
@@ -80,7 +81,7 @@
         }
     }
     let id = one(&head.headers, ID)?.filter(|id| is_name(id)).ok_or(StatusCode::BAD_REQUEST)?.to_owned();
-    if body_most > MOST_BODY as u64 {
+    if body_most > if router.flows() { MOST_FLOW } else { MOST_BODY as u64 } {
         return Err(StatusCode::PAYLOAD_TOO_LARGE.into());
     }
     let way = router.way(head, &id, body_most, connection)?;
@@ -105,9 +106,21 @@
         allowed: course.allowed(),
         attempts: course.attempts(),
         ways_in: None,
+        coming: 0,
     };
     let key = key.filter(|_| keyed).map(str::to_owned);
-    Ok(Opened { new, id, key, ids, once, method, course, class, patience: Duration::from_millis(ms) })
+    Ok(Opened {
+        new,
+        id,
+        key,
+        ids,
+        once,
+        method,
+        course,
+        class,
+        patience: Duration::from_millis(ms),
+        flows: false,
+    })
 }
 
 impl Opened {
@@ -118,25 +131,38 @@
     pub fn close(
         self,
         mut head: Parts,
-        body: Bytes,
+        body: Content,
         called: Option<Called>,
         ids: &Ids,
     ) -> Result<Taken, Turned> {
-        let Opened { new, id, key, ids: own, once, method, course, patience, .. } = self;
+        let Opened { new, id, key, ids: own, once, method, course, patience, flows, .. } = self;
         let claim = own.as_ref().unwrap_or(ids).claim(&id).ok_or(StatusCode::CONFLICT)?;
         let held = match once.zip(key).map(|(once, key)| once.meet(&key)).transpose()? {
             Some(Met::New(held)) => Some(held),
             Some(Met::Again(answer)) => return Ok(Taken::Known(answer)),
             None => None,
         };
+        let mut new = new;
+        if let Some(flow) = body.flow() {
+            // What has flowed cannot be sent a second time.
+            let most = body.size_hint().exact().unwrap_or(MOST_FLOW);
+            new.attempts = 1;
+            new.coming = if flow.ended().is_some() { 0 } else { flow::most_time(most).as_micros() as Micros };
+        }
         remove_hop_by_hop(&mut head.headers);
         head.extensions.clear();
+        if body.flow().is_some() {
+            head.extensions.insert(Patience(patience));
+        }
+        if flows {
+            head.extensions.insert(MayFlow);
+        }
         let by_method = |method| Called { method, params: None, by_http: true };
         if let Some(called) = called.or_else(|| method.map(by_method)) {
             head.extensions.insert(called);
         }
         head.version = hyper::Version::HTTP_11;
-        let message = Rc::new(Request::from_parts(head, Full::new(body)));
+        let message = Rc::new(Request::from_parts(head, body));
         Ok(Taken::Sound(Box::new(Sound { new, message, course, patience, held, claim })))
     }
 }
@@ -147,7 +173,7 @@
     ids: &Ids,
     socket: &Socket,
     connection: &Connection,
-    tally: &Tally,
+    tally: &Rc<Tally>,
     request: Request<Incoming>,
 ) -> Result<Taken, Turned> {
     let began = socket.since().unwrap_or_else(Instant::now);
@@ -158,29 +184,33 @@
     if head.uri.authority().is_some() {
         return Err(StatusCode::BAD_REQUEST.into());
     }
+    // One of unknown length is over the bound once it is.
     let body_most = body.size_hint().exact().unwrap_or(MOST_BODY as u64);
-    let opened = open(router, connection, &mut head, body_most)?;
+    let mut opened = open(router, connection, &mut head, body_most)?;
     tally.is(opened.class);
     if head.method == Method::GET && body.size_hint().exact() != Some(0) {
         return Err(StatusCode::BAD_REQUEST.into());
     }
-    let until = began + WHOLE.min(opened.patience);
-    let body = timeout_at(until, Limited::new(body, MOST_BODY).collect());
-    let body = body.await.map_err(|_| StatusCode::REQUEST_TIMEOUT)?.map_err(|e| {
-        if e.is::<LengthLimitError>() {
-            StatusCode::PAYLOAD_TOO_LARGE
-        } else {
-            StatusCode::BAD_REQUEST
+    opened.flows = router.flows();
+    let most = body_most.min(MOST_BODY as u64);
+    let until = began + if opened.flows { flow::most_time(most) } else { WHOLE.min(opened.patience) };
+    let body = match flow::gather(body, MOST_BODY, until).await.map_err(|_| StatusCode::BAD_REQUEST)? {
+        Gathered::Whole(body) => body,
+        Gathered::Part(first, rest) if opened.flows && (Instant::now() < until || first.is_empty()) => {
+            let (flow, tally) = (Rc::new(Flow::of_request(rest, first)), Rc::clone(tally));
+            flow.at_end(move || tally.taken());
+            return opened.close(head, Content::Flowing(flow), None, ids);
         }
-    })?;
-    let body = body.to_bytes();
+        Gathered::Part(..) if Instant::now() < until => return Err(StatusCode::PAYLOAD_TOO_LARGE.into()),
+        Gathered::Part(..) => return Err(StatusCode::REQUEST_TIMEOUT.into()),
+    };
     tally.taken();
     // A caller sends one request at a time: what comes along with this one was miscounted or is hidden in it.
     let counted = (head_length + body.len()) as u64;
     if !chunked && socket.bytes_in() > counted || socket.unread() == Unread::Data {
         return Err(StatusCode::BAD_REQUEST.into());
     }
-    opened.close(head, body, None, ids)
+    opened.close(head, body.into(), None, ids)
 }
 
 /// An id or a key: printable, with nothing in it that ends or divides a value.
--- a/crates/proxy/src/server/http.rs
+++ b/crates/proxy/src/server/http.rs
@@ -1,12 +1,13 @@
 //! Callers that speak HTTP/1.1: a request at a time.
 
 use std::convert::Infallible;
-use std::pin::pin;
+use std::pin::{pin, Pin};
+use std::rc::Rc;
+use std::task::{Context, Poll};
 
 use bytes::Bytes;
 use decide::interface::*;
-use http_body_util::Full;
-use hyper::body::{Body, Incoming};
+use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::header::{self, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -15,8 +16,9 @@
 use tokio::time::Instant;
 
 use super::{serving, Caller, Callers, Gate};
-use crate::exchange::{Answer, MOST_BUFFER};
+use crate::exchange::{Answer, MOST_BODY, MOST_BUFFER};
 use crate::figures::{Fate, Tally};
+use crate::flow::{Content, Cut};
 use crate::gate::Turned;
 use crate::guard::caught;
 use crate::request::{self, Taken};
@@ -25,15 +27,61 @@
 /// Says which limit refused a request.
 const CAUSE: &str = "x-refusal-cause";
 
-type Reply = Response<Full<Bytes>>;
+type Reply = Response<Outgoing>;
+
+/// An answer's body on its way to the caller, and what ends with it.
+struct Outgoing {
+    content: Content,
+    /// Of one that flows.
+    open: Option<Open>,
+}
+
+/// A request whose answer is on its way.
+struct Open {
+    caller: Rc<Caller>,
+    tally: Rc<Tally>,
+    content: Content,
+}
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        let whole = self.content.flow().is_some_and(|flow| flow.ended().is_some());
+        self.tally.end(if whole { Fate::Served } else { Fate::Failed });
+        self.caller.free();
+    }
+}
+
+impl Outgoing {
+    fn whole(content: Content) -> Outgoing {
+        Outgoing { content, open: None }
+    }
+}
+
+impl Body for Outgoing {
+    type Data = Bytes;
+    type Error = Cut;
+
+    fn poll_frame(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, Cut>>> {
+        Pin::new(&mut self.content).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.content.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.content.size_hint()
+    }
+}
 
 /// Serves a connection to its end.
-pub async fn serve(callers: &Callers, caller: &Caller, socket: Socket) {
+pub async fn serve(callers: &Callers, caller: &Rc<Caller>, socket: Socket) {
     let service = service_fn(|request: Request<Incoming>| async move {
         caller.busy.set(true);
         caller.asked.set(true);
-        // What follows a chunked body is not kept, so its connection ends with it.
-        let chunked = request.headers().contains_key(header::TRANSFER_ENCODING);
+        // What follows a chunked or large body is not kept, so its connection ends with it.
+        let chunked = request.headers().contains_key(header::TRANSFER_ENCODING)
+            || request.body().size_hint().lower() > MOST_BODY as u64;
         let bodiless = request.body().is_end_stream();
         let handled = caught(handle(callers, caller, request)).await;
         let mut reply = handled.unwrap_or_else(|| reply(StatusCode::INTERNAL_SERVER_ERROR));
@@ -46,9 +94,9 @@
         if callers.leaving.get() || caller.closing.get() || malformed || chunked {
             reply.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
         }
-        caller.used.set(Instant::now());
-        caller.busy.set(false);
-        caller.socket.next_message(MOST_BUFFER);
+        if reply.body().open.is_none() {
+            caller.free();
+        }
         Ok::<_, Infallible>(reply)
     });
     let mut connection =
@@ -70,17 +118,17 @@
     }
 }
 
-async fn handle(callers: &Callers, caller: &Caller, request: Request<Incoming>) -> Reply {
+async fn handle(callers: &Callers, caller: &Rc<Caller>, request: Request<Incoming>) -> Reply {
     if request.uri().path() == "/healthz" {
         let ready = (!callers.ending.get() || callers.gate.shared) && callers.gate.router.is_ready();
         return reply(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE });
     }
     let gate = &callers.gate;
-    let received = Instant::now();
-    let tally = Tally::new(gate.figures.as_ref());
+    let tally = Rc::new(Tally::new(gate.figures.as_ref()));
     let read = request::read(&*gate.router, &gate.ids, &caller.socket, &caller.kept, &tally, request);
     let answer = match read.await {
-        Ok(Taken::Sound(sound)) => serving::serve(callers, *sound, received).await,
+        // Its time counts from its last byte; one that flows brings along how long it may take to come.
+        Ok(Taken::Sound(sound)) => serving::serve(callers, *sound, Instant::now()).await,
         Ok(Taken::Known(answer)) => answer,
         Err(turned) => {
             let refused = turned.status == StatusCode::TOO_MANY_REQUESTS;
@@ -88,14 +136,24 @@
             return turned_away(gate, turned);
         }
     };
-    tally.end(match answer {
-        Answer::Served(..) => Fate::Served,
-        Answer::Refused { .. } => Fate::Refused,
-        Answer::Failed | Answer::TimedOut => Fate::Failed,
-    });
+    match &answer {
+        // Ends with its last byte.
+        Answer::Served(_, Content::Flowing(_)) => {}
+        Answer::Served(..) => tally.end(Fate::Served),
+        Answer::Refused { .. } => tally.end(Fate::Refused),
+        Answer::Failed | Answer::TimedOut => tally.end(Fate::Failed),
+    }
     match answer {
         Answer::Served(headers, body) => {
-            let mut reply = Response::new(Full::new(body));
+            let open = body.flow().is_some().then(|| Open {
+                caller: Rc::clone(caller),
+                tally: Rc::clone(&tally),
+                content: body.clone(),
+            });
+            if open.is_some() {
+                caller.flows();
+            }
+            let mut reply = Response::new(Outgoing { content: body, open });
             *reply.headers_mut() = headers;
             reply
         }
@@ -137,7 +195,7 @@
 }
 
 fn reply(status: StatusCode) -> Reply {
-    let mut reply = Response::new(Full::default());
+    let mut reply = Response::new(Outgoing::whole(Content::default()));
     *reply.status_mut() = status;
     reply
 }
--- a/crates/proxy/src/server/mod.rs
+++ b/crates/proxy/src/server/mod.rs
@@ -20,6 +20,7 @@
 
 use crate::exchange::MOST_BUFFER;
 use crate::figures::Figures;
+use crate::flow::STALL;
 use crate::gate::{Connection, Router};
 use crate::ids::Ids;
 use crate::log::say;
@@ -39,7 +40,7 @@
 const NEW: Duration = Duration::from_millis(250);
 /// The head of a request has come whole within this time: from the start of the connection for its first
 /// request, from the head's first byte later on. Guards against callers that hold descriptors and say nothing.
-const HEAD: Duration = Duration::from_secs(2);
+const HEAD: Duration = Duration::from_secs(3);
 /// How often that is looked at.
 const LOOK: Duration = Duration::from_millis(100);
 /// Pause before trying again to accept where that failed or there is no room: trying at once would spin.
@@ -90,6 +91,8 @@
     drop: Notify,
     /// What the router keeps with it.
     kept: Connection,
+    /// While an answer flows to it: what had been written when that was last looked at, and since when it has been so.
+    flowing: Cell<Option<(u64, Instant)>>,
 }
 
 /// Serves callers until `stop`, and then until all that was taken has its answer.
@@ -157,6 +160,7 @@
 async fn look(callers: Rc<Callers>) {
     loop {
         tokio::time::sleep(LOOK).await;
+        callers.all.borrow().values().filter(|c| c.is_stuck()).for_each(|c| c.drop.notify_one());
         for caller in callers.all.borrow().values().filter(|c| !c.busy.get()) {
             // Calls come when they come; what is begun is to be ended.
             let patient = caller.asked.get() || callers.gate.protocol != Protocol::Http;
@@ -227,6 +231,29 @@
 }
 
 impl Caller {
+    /// Its answer begins to flow.
+    fn flows(&self) {
+        self.flowing.set(Some((self.socket.written(), Instant::now())));
+    }
+
+    /// Has it read nothing for too long of an answer that flows?
+    fn is_stuck(&self) -> bool {
+        let Some((before, since)) = self.flowing.get() else { return false };
+        if self.socket.written() != before {
+            self.flows();
+            return false;
+        }
+        since.elapsed() > STALL
+    }
+
+    /// Its request has its answer; what comes now is the next one.
+    fn free(&self) {
+        self.flowing.set(None);
+        self.used.set(Instant::now());
+        self.busy.set(false);
+        self.socket.next_message(MOST_BUFFER);
+    }
+
     fn ask_to_close(&self) {
         self.closing.set(true);
         self.close.notify_one();
@@ -256,6 +283,7 @@
         closing: Cell::new(false),
         drop: Notify::new(),
         kept: Connection::default(),
+        flowing: Cell::new(None),
     });
     callers.all.borrow_mut().insert(*accepted, Rc::clone(&caller));
     let registered = Registered(Rc::clone(callers), *accepted);
--- a/crates/proxy/src/server/rpc.rs
+++ b/crates/proxy/src/server/rpc.rs
@@ -260,7 +260,7 @@
         }
         let params = call.params.map(|p| frame.slice_ref(p.get().as_bytes()));
         let called = Called { method: (*call.method).into(), params, by_http: false };
-        opened.close(head, body, Some(called), &gate.ids)
+        opened.close(head, body.into(), Some(called), &gate.ids)
     }
 
     /// Hands calls to the decisions side by side. They are answered together; notifications are not, and nobody waits
@@ -371,7 +371,10 @@
             Err(error) => return error,
         };
         Some(match answer {
-            Answer::Served(headers, body) => jsonrpc::response(id, &mapping::result_of(&headers, &body)),
+            Answer::Served(headers, body) => {
+                let body = body.whole().unwrap_or_default();
+                jsonrpc::response(id, &mapping::result_of(&headers, &body))
+            }
             Answer::Refused { retry_after, .. } => {
                 let data = data("load", retry_after);
                 jsonrpc::error(id, code::REFUSED, "refused; trying again is harmless", Some(&data))
--- a/crates/proxy/src/server/serving.rs
+++ b/crates/proxy/src/server/serving.rs
@@ -28,7 +28,9 @@
     // What would still be open when the kill comes gets its answer before that.
     let left = callers.kill.get().map(|at| at.saturating_duration_since(received + KILL_MARGIN));
     let patience = left.map_or(patience, |left| patience.min(left));
-    let backstop = received + patience.saturating_sub(BACKSTOP);
+    // Its time counts from when it has come whole.
+    let coming = Duration::from_micros(new.coming.max(0) as u64);
+    let backstop = received + coming + patience.saturating_sub(BACKSTOP);
     // The decisions get this much less, for the answer's way back.
     let decided = patience.saturating_sub(ANSWER_WAY.min(patience / 10));
     let mut spent = Duration::ZERO;
--- a/src/bin/amberlever-adapter/wire.rs
+++ b/src/bin/amberlever-adapter/wire.rs
@@ -312,6 +312,7 @@
                     allowed: None,
                     attempts: 0,
                     ways_in: None,
+                    coming: 0,
                 })
             }
             "OPENED" => {
--- /dev/null
+++ b/tests/flow.rs
@@ -0,0 +1,229 @@
+//! Bodies that are larger than what is held whole: they flow, under back-pressure, and their ends are told apart.
+mod stubs;
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use stubs::*;
+
+const LARGE: usize = 8 << 20;
+
+/// Bytes in which none could be lost, doubled or moved unseen.
+fn pattern(length: usize) -> Vec<u8> {
+    (0..length).map(|i| (i ^ (i >> 8) ^ (i >> 16)) as u8).collect()
+}
+
+/// A backend that serves each connection as this says, and its address.
+fn backend(serve: impl Fn(TcpStream) + Send + Sync + 'static) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("bound");
+    let serve = Arc::new(serve);
+    thread::spawn(move || {
+        for stream in listener.incoming() {
+            let (stream, serve) = (stream.expect("accepts"), Arc::clone(&serve));
+            thread::spawn(move || serve(stream));
+        }
+    });
+    address
+}
+
+fn start(backends: &[SocketAddr]) -> (Process, Discovery, Held) {
+    let (discovery, held) = (Discovery::new(), Held::new());
+    let mut setup = Setup { aim_ms: 400, ..Setup::of(&[]) };
+    setup.hosts = backends.iter().enumerate().map(|(i, b)| host(&format!("s-{i}"), *b, "SERVING")).collect();
+    let process = held.start(&with_operators(&setup.config(discovery.address)));
+    (process, discovery, held)
+}
+
+/// Reads a head: its first line.
+fn head(from: &mut impl BufRead) -> String {
+    let mut first = String::new();
+    from.read_line(&mut first).expect("text");
+    let mut line = String::new();
+    while line != "\r\n" {
+        line.clear();
+        assert!(from.read_line(&mut line).expect("text") > 0, "the head ends");
+    }
+    first
+}
+
+fn connect(held: &Held) -> BufReader<TcpStream> {
+    let stream = TcpStream::connect(held.address).expect("it listens");
+    stream.set_read_timeout(Some(PATIENCE)).expect("set");
+    BufReader::new(stream)
+}
+
+#[test]
+fn the_first_bytes_of_a_large_answer_go_on_while_the_rest_is_to_come() {
+    for chunked in [false, true] {
+        let release = Arc::new(Release::default());
+        let held_back = Arc::clone(&release);
+        let node = backend(move |stream| {
+            let mut reader = BufReader::new(stream.try_clone().expect("a copy"));
+            head(&mut reader);
+            let (mut stream, body) = (stream, pattern(LARGE));
+            let (first, rest) = body.split_at(100_000);
+            let (before, after, end) = if chunked {
+                (
+                    "Transfer-Encoding: chunked\r\n\r\n186a0;x=\"y\"\r\n".to_owned(),
+                    format!("\r\n{:x}\r\n", rest.len()),
+                    "\r\n0\r\nX-T: 1\r\n\r\n",
+                )
+            } else {
+                (format!("Content-Length: {LARGE}\r\n\r\n"), String::new(), "")
+            };
+            stream.write_all(format!("HTTP/1.1 200 OK\r\n{before}").as_bytes()).expect("written");
+            stream.write_all(first).expect("written");
+            held_back.wait();
+            stream.write_all(after.as_bytes()).expect("written");
+            stream.write_all(rest).expect("written");
+            stream.write_all(end.as_bytes()).expect("written");
+            let _ = reader.read_to_end(&mut Vec::new());
+        });
+        let (process, _discovery, held) = start(&[node]);
+        let mut caller = connect(&held);
+        caller
+            .get_mut()
+            .write_all(
+                read("large", 9000).replace("HTTP/1.1\r\n", "HTTP/1.1\r\nConnection: close\r\n").as_bytes(),
+            )
+            .expect("written");
+        assert!(head(&mut caller).contains(" 200 "));
+        let mut some = vec![0; 50_000];
+        caller.read_exact(&mut some).expect("before the rest has been sent");
+        assert_eq!(process.figure("edge_lb_active"), 1, "it has not ended");
+        release.release();
+        let mut rest = Vec::new();
+        caller.read_to_end(&mut rest).expect("all of it");
+        some.extend(rest);
+        if chunked {
+            // Pieces may be cut anywhere; what is left without their sizes is what was sent.
+            assert!(some.len() >= LARGE && some.ends_with(b"0\r\n\r\n"));
+        } else {
+            assert!(some == pattern(LARGE), "byte for byte");
+        }
+        process.figure_becomes("edge_lb_ok_total{kind=\"read\"}", 1);
+        assert_eq!(process.figure("edge_lb_active"), 0);
+    }
+}
+
+#[test]
+fn answers_that_nobody_reads_wait_and_take_no_memory() {
+    let body = Arc::new(pattern(LARGE));
+    let node = backend(move |stream| {
+        let mut reader = BufReader::new(stream.try_clone().expect("a copy"));
+        head(&mut reader);
+        let mut stream = stream;
+        let _ = stream.write_all(format!("HTTP/1.1 200 OK\r\nContent-Length: {LARGE}\r\n\r\n").as_bytes());
+        let _ = stream.write_all(&body);
+        let _ = reader.read_to_end(&mut Vec::new());
+    });
+    let (process, _discovery, held) = start(&[node]);
+    let (_, before) = process.holds();
+    let mut callers = Vec::new();
+    for i in 0..20 {
+        let mut caller = connect(&held);
+        caller.get_mut().write_all(read(&format!("r-{i}"), 9000).as_bytes()).expect("written");
+        assert!(head(&mut caller).contains(" 200 "));
+        callers.push(caller);
+    }
+    let (_, with) = process.holds();
+    assert!(with - before < 20 * 256, "{} kB for 160 MB of answers", with - before);
+    for mut caller in callers {
+        let mut all = vec![0; LARGE];
+        caller.read_exact(&mut all).expect("all of it");
+        assert!(all == pattern(LARGE));
+    }
+}
+
+#[test]
+fn an_answer_that_breaks_off_ends_so_that_its_caller_can_tell() {
+    let node = backend(|stream| {
+        let mut reader = BufReader::new(stream.try_clone().expect("a copy"));
+        head(&mut reader);
+        let mut stream = stream;
+        stream
+            .write_all(format!("HTTP/1.1 200 OK\r\nContent-Length: {LARGE}\r\n\r\n").as_bytes())
+            .expect("written");
+        stream.write_all(&pattern(200_000)).expect("written");
+    });
+    let (process, _discovery, held) = start(&[node]);
+    let mut caller = connect(&held);
+    caller.get_mut().write_all(read("broken", 9000).as_bytes()).expect("written");
+    assert!(head(&mut caller).contains(" 200 "));
+    let mut got = Vec::new();
+    let _ = caller.read_to_end(&mut got);
+    assert!(got.len() < LARGE && got == pattern(LARGE)[..got.len()]);
+    process.figure_becomes("edge_lb_errors_total{kind=\"read\"}", 1);
+    assert_eq!(process.figure("edge_lb_ok_total{kind=\"read\"}"), 0);
+}
+
+/// A backend that reads a whole request with this length and says how much came.
+fn counting() -> SocketAddr {
+    backend(|stream| {
+        let mut reader = BufReader::new(stream.try_clone().expect("a copy"));
+        head(&mut reader);
+        let mut body = vec![0; LARGE];
+        let whole = reader.read_exact(&mut body).is_ok() && body == pattern(LARGE);
+        let mut stream = stream;
+        let word = if whole { "whole" } else { "wrong" };
+        let _ = stream.write_all(format!("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n{word}").as_bytes());
+        let _ = reader.read_to_end(&mut Vec::new());
+    })
+}
+
+fn upload(id: &str, timeout_ms: u32) -> String {
+    write(id, timeout_ms, "").replace("Content-Length: 0", &format!("Content-Length: {LARGE}"))
+}
+
+#[test]
+fn a_large_request_flows_and_its_time_counts_from_its_last_byte() {
+    let (process, _discovery, held) = start(&[counting()]);
+    let mut caller = connect(&held);
+    // It takes longer to come than its caller waits for the answer.
+    caller.get_mut().write_all(upload("up", 300).as_bytes()).expect("written");
+    let body = pattern(LARGE);
+    let since = Instant::now();
+    for piece in body.chunks(LARGE / 10) {
+        caller.get_mut().write_all(piece).expect("written");
+        thread::sleep(Duration::from_millis(50));
+    }
+    assert!(since.elapsed() > Duration::from_millis(400));
+    let answer = hear(&mut caller).expect("an answer");
+    assert_eq!((answer.status(), &answer.body[..]), (200, &b"whole"[..]));
+    assert_eq!(process.figure("edge_lb_tries_total"), 1);
+    assert_eq!(process.figure("edge_lb_ok_total{kind=\"write\"}"), 1);
+}
+
+#[test]
+fn a_large_request_that_is_refused_has_its_answer_at_once_and_is_read_all_the_same() {
+    let (process, _discovery, held) = start(&[]);
+    let mut caller = connect(&held);
+    caller.get_mut().write_all(upload("up", 9000).as_bytes()).expect("written");
+    let answer = hear(&mut caller).expect("an answer before its body has come");
+    assert_eq!(answer.status(), 503);
+    caller.get_mut().write_all(&pattern(LARGE)).expect("all of it is taken");
+    process.figure_becomes("edge_lb_shed_total{kind=\"write\"}", 1);
+    assert_eq!(process.figure("edge_lb_active"), 0);
+}
+
+#[test]
+fn a_large_request_whose_caller_leaves_is_no_attempt() {
+    let (process, _discovery, held) = start(&[counting()]);
+    let mut caller = connect(&held);
+    caller.get_mut().write_all(upload("up", 9000).as_bytes()).expect("written");
+    caller.get_mut().write_all(&pattern(LARGE)[..LARGE / 2]).expect("written");
+    drop(caller);
+    // Whether it ends as left or as refused is a race that nobody waits for.
+    let ended =
+        || ["errors", "shed"].map(|n| process.figure(&format!("edge_lb_{n}_total{{kind=\"write\"}}")));
+    let since = Instant::now();
+    while ended().iter().sum::<u64>() != 1 {
+        assert!(since.elapsed() < PATIENCE, "{:?}", ended());
+        thread::sleep(Duration::from_millis(5));
+    }
+    assert_eq!((process.figure("edge_lb_tries_total"), process.figure("edge_lb_active")), (0, 0));
+}
