A large request counts in the queue once it has come whole, not while it is on its way

The decisions are told (Event::Came); until then an attempt holds neither queue nor time. Its time and what its server takes count from there. Test: a_request_whose_body_is_on_its_way_counts_once_it_has_come, which fails where uploads count.

--- a/crates/decide/src/choice.rs
+++ b/crates/decide/src/choice.rs
@@ -162,7 +162,8 @@
     most_attempts: usize,
     until: Micros,
     streaming: bool,
-    came_slowly: bool,
+    /// Its body is on its way: no server works on it, and nothing counts it.
+    coming: bool,
     /// It has its final answer, and only its attempts are still to end.
     answered: bool,
     attempts: Vec<Attempt>,
@@ -299,9 +300,10 @@
                     r.streaming = true;
                 }
             }
-            Event::Outcome { request, attempt, backend, outcome, took, is_final, report } => {
+            Event::Came(id) => self.on_came(now, id),
+            Event::Outcome { request, attempt, backend, outcome, is_final, report, .. } => {
                 self.on_report(now, backend, report);
-                if let Some((b, figure)) = self.on_end(now, request, attempt, outcome, took) {
+                if let Some((b, figure)) = self.on_end(now, request, attempt, outcome) {
                     self.tell(b, figure, out);
                     self.on_outcome(now, request, outcome, is_final, out);
                 }
@@ -557,7 +559,7 @@
             most_attempts: if r.attempts == 0 { usize::MAX } else { r.attempts },
             until,
             streaming: false,
-            came_slowly: r.coming > 0,
+            coming: r.coming > 0,
             answered: false,
             attempts: Vec::new(),
         };
@@ -571,6 +573,17 @@
         }
     }
 
+    /// The body of a request is whole: its servers begin, and its time counts from here.
+    fn on_came(&mut self, now: Micros, id: RequestId) {
+        let Some(request) = self.requests.get_mut(&id).filter(|r| r.coming) else { return };
+        request.coming = false;
+        for attempt in request.attempts.iter_mut().filter(|a| a.running) {
+            attempt.sent = now;
+            self.backends[attempt.backend].hold(request.class, now - self.start);
+            self.inflight += 1;
+        }
+    }
+
     /// Is this call to leave its connection to the next one? Guards against callers that find none free while
     /// it ends and all others are away: they take it for dead and leave the others unused, too. Does harm
     /// where another is there after all, which would have taken this call.
@@ -727,28 +740,23 @@
 
     /// Books the end of an attempt: its server, and what it tells of load. None where it was never made or
     /// has ended before.
-    fn on_end(
-        &mut self,
-        now: Micros,
-        id: RequestId,
-        nth: usize,
-        outcome: Outcome,
-        took: Micros,
-    ) -> Option<(usize, u8)> {
+    fn on_end(&mut self, now: Micros, id: RequestId, nth: usize, outcome: Outcome) -> Option<(usize, u8)> {
         let request = self.requests.get_mut(&id)?;
         let a = request.attempts.get_mut(nth).filter(|a| a.running)?;
         a.running = false;
         a.may_have_run = !outcome.never_ran();
-        let (b, class, sent) = (a.backend, request.class, a.sent);
-        // Where the request itself took time to come, what its server took is less.
-        let took = if request.came_slowly { took.clamp(0, now - sent) } else { now - sent } as f64;
+        let (b, class, sent, coming) = (a.backend, request.class, a.sent, request.coming);
+        let took = (now - sent) as f64;
         let aim = self.aims[class];
-        self.inflight = self.inflight.saturating_sub(1);
         let backend = &mut self.backends[b];
-        backend.inflight = backend.inflight.saturating_sub(1);
-        let spent = &mut backend.classes[class];
-        spent.inflight = spent.inflight.saturating_sub(1);
-        spent.sent_sum = if spent.inflight == 0 { 0.0 } else { spent.sent_sum - (sent - self.start) as f64 };
+        if !coming {
+            self.inflight = self.inflight.saturating_sub(1);
+            backend.inflight = backend.inflight.saturating_sub(1);
+            let spent = &mut backend.classes[class];
+            spent.inflight = spent.inflight.saturating_sub(1);
+            spent.sent_sum =
+                if spent.inflight == 0 { 0.0 } else { spent.sent_sum - (sent - self.start) as f64 };
+        }
         let zone = self.zones.entry(backend.entry.zone).or_default();
         match outcome {
             Outcome::Ok | Outcome::Error | Outcome::Full => zone.add(now, self.memory, 0.0),
@@ -862,13 +870,12 @@
         let Some(request) = self.requests.get_mut(&id) else { return };
         let backend = &mut self.backends[b];
         request.attempts.push(Attempt { backend: b, sent: now, running: true, may_have_run: true });
-        backend.inflight += 1;
-        let spent = &mut backend.classes[request.class];
-        spent.inflight += 1;
-        spent.sent_sum += (now - self.start) as f64;
         backend.sent_since += 1;
         backend.cold_tokens = (backend.cold_tokens - 1.0).max(0.0);
-        self.inflight += 1;
+        if !request.coming {
+            backend.hold(request.class, now - self.start);
+            self.inflight += 1;
+        }
         out.push(Action::Send { request: id, backend: backend.entry.id, until: request.until });
         self.tell(b, 0, out);
     }
@@ -973,6 +980,14 @@
         }
     }
 
+    /// It has one more call to work on.
+    fn hold(&mut self, class: usize, since_start: Micros) {
+        self.inflight += 1;
+        let spent = &mut self.classes[class];
+        spent.inflight += 1;
+        spent.sent_sum += since_start as f64;
+    }
+
     /// What peers hold here, as far as they said so lately.
     fn told(&self, now: Micros, memory: f64) -> u32 {
         let lately = self.others.values().filter(|(_, at)| now - at < memory as Micros / 2);
--- a/crates/decide/src/interface.rs
+++ b/crates/decide/src/interface.rs
@@ -383,6 +383,8 @@
     },
     /// A request landed and is owed one answer.
     Request(NewRequest),
+    /// The body of a request, of which [`NewRequest::coming`] spoke, has come whole.
+    Came(RequestId),
     /// A streamed answer began; the client owns the attempt now.
     StreamStarted {
         /// The request.
--- a/crates/decide/tests/decisions.rs
+++ b/crates/decide/tests/decisions.rs
@@ -253,6 +253,37 @@
     assert!(!refused(&answer(&two, 1, None)));
 }
 
+/// Callers that send large bodies slowly hold attempts open for long, on which no server works yet.
+#[test]
+fn a_request_whose_body_is_on_its_way_counts_once_it_has_come() {
+    let mut proxy = Proxy::new(settings(), &pool(2));
+    let begin = |proxy: &mut Proxy, id, coming| {
+        let request = NewRequest { id: RequestId(id), coming, time_left: 400_000, ..NewRequest::default() };
+        proxy.tell(Event::Request(request))
+    };
+    let mut coming = Vec::new();
+    for id in 1000..1100 {
+        let actions = begin(&mut proxy, id, 30_000_000);
+        let [Action::Send { backend, until, .. }] = actions[..] else { panic!("{actions:?}") };
+        assert_eq!(until, proxy.now + 30_400_000, "its time counts from when it has come");
+        coming.push((RequestId(id), backend));
+    }
+    assert!(!refused(&begin(&mut proxy, 2000, 0)), "nobody has more to do for them");
+    for (id, _) in &coming[..50] {
+        assert!(proxy.tell(Event::Came(*id)).is_empty());
+        proxy.tell(Event::Came(*id));
+    }
+    assert!(refused(&begin(&mut proxy, 2001, 0)), "fifty are over any first threshold of two servers");
+    // However they end, each is counted out as it was counted in.
+    for (i, (id, backend)) in coming.into_iter().enumerate() {
+        let outcome = if i % 2 == 0 { Outcome::Ok } else { Outcome::Moot };
+        proxy.outcome(id, 0, backend, outcome, 1000);
+    }
+    // A first T1 of 10, of which the one that came in between still holds one.
+    let held = (3000..3100).filter(|id| !refused(&begin(&mut proxy, *id, 0))).count();
+    assert_eq!(held, 9);
+}
+
 fn cold_settings() -> Settings {
     Settings {
         balancers: 10,
--- a/crates/proxy/src/backend/mod.rs
+++ b/crates/proxy/src/backend/mod.rs
@@ -405,16 +405,14 @@
             result = timeout_at(order.until, self.exchange(order, &written)) => result.ok(),
             () = late => None,
         };
-        let (mut ended, link) = match result {
+        match result {
             Some(result) => result,
             // Nothing was sent, so nothing ran: the time went in connecting.
             None if !written.get() => (Outcome::Moot.into(), None),
             // A backend begins once it has the last byte.
             None if flow.is_some_and(|f| f.ended().is_none()) => (Outcome::Moot.into(), None),
             None => (Outcome::Timeout.into(), None),
-        };
-        ended.since = flow.and_then(|f| f.ended());
-        (ended, link)
+        }
     }
 
     /// Keeps a connection for the next request, once it is free for one.
@@ -508,7 +506,7 @@
                 End::Result(result) => {
                     let (headers, body) = mapping::answer_of(&result);
                     let answer = Some((headers, body.into()));
-                    Ended { outcome: Outcome::Ok, report: None, answer, since: None }
+                    Ended { outcome: Outcome::Ok, report: None, answer }
                 }
                 End::Error(jsonrpc::code::NOT_PROCESSED) => Outcome::Full.into(),
                 End::Error(_) => Outcome::Error.into(),
@@ -547,7 +545,7 @@
             _ => Outcome::Error,
         };
         let Ok(body) = body else {
-            return (Ended { outcome, report, answer: None, since: None }, None);
+            return (Ended { outcome, report, answer: None }, None);
         };
         let (content, link) = match body {
             Gathered::Whole(body) => (body.into(), Some(link)),
@@ -565,7 +563,7 @@
             headers.remove(LOAD_HEADER);
             (headers, content)
         });
-        (Ended { outcome, report, answer, since: None }, link)
+        (Ended { outcome, report, answer }, link)
     }
 
     /// A load report: an object of numbers. A malformed one is passed over, and so is one with an absurd figure,
@@ -618,7 +616,7 @@
                 StatusCode::SERVICE_UNAVAILABLE => Outcome::Full,
                 _ => Outcome::Error,
             };
-            Ended { outcome, report: self.report(json), answer: None, since: None }
+            Ended { outcome, report: self.report(json), answer: None }
         };
         let limit = Instant::now() + PROBE_TIME;
         timeout_at(limit, exchange).await.unwrap_or_else(|_| Outcome::Timeout.into())
--- a/crates/proxy/src/clock.rs
+++ b/crates/proxy/src/clock.rs
@@ -27,11 +27,6 @@
         self.start + Duration::from_micros(at.clamp(0, TIME_LIMIT) as u64)
     }
 
-    /// What the clock reads at an instant; 0 before its start.
-    pub fn at(&self, instant: Instant) -> Micros {
-        instant.saturating_duration_since(self.start).as_micros() as Micros
-    }
-
     /// What the clock read at a time in Unix milliseconds; 0 stands for no time.
     pub fn at_unix_ms(&self, ms: f64) -> Option<Micros> {
         (ms != 0.0).then(|| ((ms * 1000.0) as Micros).saturating_sub(self.unix_start))
--- a/crates/proxy/src/driver.rs
+++ b/crates/proxy/src/driver.rs
@@ -121,9 +121,14 @@
             Input::Request(new, message, begun, answer) => {
                 let attempts = Vec::new();
                 let open = Open { message, answer, begun, attempts, timed_out: false, may_have_run: false };
+                if let Some(flow) = open.message.body().flow() {
+                    let (handle, id) = (self.handle(), new.id);
+                    flow.at_end(move || handle.tell(Input::Came(id)));
+                }
                 self.open.insert(new.id, open);
                 self.decide(Event::Request(new));
             }
+            Input::Came(id) => self.decide(Event::Came(id)),
             Input::Ended(id, nth, ended) => self.ended(id, nth, ended),
             Input::Dropped(id, nth, backend, sent) => {
                 self.outcome(id, nth, (backend, sent), Outcome::Cancelled, true, None);
@@ -158,9 +163,7 @@
         let Some(open) = self.open.get_mut(&id) else { return };
         let Some(attempt) = open.attempts.get_mut(nth).filter(|a| a.task.is_some()) else { return };
         attempt.task = None;
-        // What a body took to come is its caller's time, not the backend's.
-        let since = ended.since.map(|at| self.clock.at(at));
-        let (backend, sent) = (attempt.backend, since.map_or(attempt.sent, |at| at.max(attempt.sent)));
+        let (backend, sent) = (attempt.backend, attempt.sent);
         open.timed_out = ended.outcome == Outcome::Timeout;
         open.may_have_run |= !ended.outcome.never_ran();
         let is_final = ended.answer.is_some();
--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -10,7 +10,6 @@
 use decide::interface::*;
 use hyper::header::{self, HeaderName};
 use hyper::{HeaderMap, Request};
-use tokio::time::Instant;
 
 use crate::flow::Content;
 
@@ -81,13 +80,11 @@
     pub report: Option<Report>,
     /// With an attempt's [`Outcome::Ok`]: the answer.
     pub answer: Option<(HeaderMap, Content)>,
-    /// When the backend had all of the request, where that took time.
-    pub since: Option<Instant>,
 }
 
 impl From<Outcome> for Ended {
     fn from(outcome: Outcome) -> Self {
-        Ended { outcome, report: None, answer: None, since: None }
+        Ended { outcome, report: None, answer: None }
     }
 }
 
--- a/crates/proxy/src/inbox.rs
+++ b/crates/proxy/src/inbox.rs
@@ -13,6 +13,8 @@
 pub enum Input {
     Backends(ListScope, Vec<BackendEntry>),
     Request(NewRequest, Rc<Message>, Attempts, oneshot::Sender<Answer>),
+    /// The body of a request has come whole.
+    Came(RequestId),
     Ended(RequestId, usize, Ended),
     /// An attempt of a request that is over was called off: where to, and when it was sent.
     Dropped(RequestId, usize, BackendId, Micros),
