--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -13,6 +13,7 @@
 mod framing;
 pub mod gate;
 mod guard;
+mod handover;
 pub mod hosting;
 mod ids;
 pub mod inbox;
--- a/crates/proxy/src/maintenance.rs
+++ b/crates/proxy/src/maintenance.rs
@@ -151,7 +151,7 @@
                 let changed = self.state.borrow_mut().adopt(&later);
                 self.changed(&changed);
             }
-            None => say(format_args!("passing over {}: not as it was written", path.display())),
+            None => say(format_args!("maintenance: passing over {}: not as it was written", path.display())),
         }
     }
 
--- a/crates/proxy/src/memory/mod.rs
+++ b/crates/proxy/src/memory/mod.rs
@@ -47,6 +47,11 @@
         }
     }
 
+    /// What these bytes hold, as far as they are sound.
+    pub fn sound(bytes: &[u8]) -> Option<Past> {
+        knowledge::read(bytes).ok().map(|(snapshot, _)| Past::of(snapshot))
+    }
+
     fn of(snapshot: Snapshot) -> Past {
         let age = snapshot.age(unix_ms());
         if age == knowledge::VERY_OLD {
@@ -130,7 +135,8 @@
     }
 }
 
-fn timed(snapshot: Snapshot) -> Snapshot {
+/// The same, as written now.
+pub fn timed(snapshot: Snapshot) -> Snapshot {
     Snapshot { written_ms: Some(unix_ms()), ..snapshot }
 }
 
--- a/crates/proxy/src/platform.rs
+++ b/crates/proxy/src/platform.rs
@@ -29,7 +29,7 @@
 use crate::peers::Peers;
 use crate::process::{self, Signals};
 use crate::server::{self, Gate};
-use crate::{operators, passed};
+use crate::{handover, operators, passed};
 
 /// Taken for the time in which discovery must be asked where the settings say less, or nothing.
 const MUST_ASK_IN: Micros = 10_000_000;
@@ -223,10 +223,20 @@
     let names = Rc::new(RefCell::new(site.names.clone()));
     let mut roster = Roster::new(clock, names, handle.clone(), Rc::clone(&backends), Rc::clone(&ready));
     let ending = Rc::new(Cell::new(false));
+    // Only one who shares its socket has a successor.
+    let folder = std::env::var_os("TMPDIR").map(PathBuf::from);
+    if let Some(folder) = folder.clone().filter(|_| shared) {
+        let (known, handle, ending) = (Rc::clone(&roster.known), handle.clone(), Rc::clone(&ending));
+        let names = Rc::clone(&roster.names);
+        handover::take_up(&folder, &known, clock, &names.borrow(), &handle);
+        spawn_local(async move {
+            handover::leave(&folder, &known, clock, &names, handle, &ending).await;
+        });
+    }
     if let Some(mgmt) = mgmt {
         let at = mgmt.local_addr().map_err(|e| format!("cannot listen: {e}"))?;
         say(format_args!("operators: listening on {at}"));
-        let desk = Rc::new(Desk::new(std::env::var_os("TMPDIR").map(PathBuf::from)));
+        let desk = Rc::new(Desk::new(folder));
         roster.desk = Some(Rc::clone(&desk));
         let (known, handle, backends) = (Rc::clone(&roster.known), handle.clone(), Rc::clone(&backends));
         let retold =
--- a/tests/operations.rs
+++ b/tests/operations.rs
@@ -176,6 +176,35 @@
     }
 }
 
+#[test]
+fn a_process_takes_over_what_was_learned_and_passes_over_what_is_damaged() {
+    let backend = Backend::new(vec![ok("1"); 9999]);
+    let (discovery, held) = (Discovery::new(), Held::new());
+    let config = with_operators(&Setup::of(&[&backend]).config(discovery.address));
+    let old = held.start(&config);
+    for i in 0..50 {
+        assert_eq!(ask(&old, &held, &read(&format!("old-{i}"), 9000)).status(), 200);
+    }
+    let file = held.folder.join("amberlever.learned");
+    let since = Instant::now();
+    while !file.exists() {
+        assert!(since.elapsed() < PATIENCE, "it is left there");
+        thread::sleep(Duration::from_millis(20));
+    }
+    let new = held.start(&config);
+    assert!(new.log().contains("knowledge: from "), "{}", new.log());
+    drop((old, new));
+    // Half of it, as of a process that was killed while it wrote to the name itself.
+    let bytes = std::fs::read(&file).expect("readable");
+    std::fs::write(&file, &bytes[..6]).expect("written");
+    std::fs::write(held.folder.join("amberlever.maintenance"), "amberlever-maintenance 1 0\n-s-0\n")
+        .expect("written");
+    let third = held.start(&config);
+    assert_eq!(third.log().matches("not as it was written").count(), 2, "{}", third.log());
+    assert_eq!(ask(&third, &held, &read("third", 9000)).status(), 200);
+    assert_eq!(third.figure("edge_lb_pool_ejected"), 0);
+}
+
 #[test]
 fn a_descriptor_that_is_no_listening_socket_ends_the_program_with_a_line() {
     let config = Setup::of(&[]).config(nobody());
