A cold server that has had no call for long is given one, within its budget

Seen in a log of each pick: it was listed ready and within its budget of five calls a second, and of 120 to 190 picks none went there, since the rank divides by its cold part. Ruled out: a late list, the budget, a proxy with no calls.

Change: a first attempt that can wait for an answer that slow goes to a cold server that has had nothing from this balancer for half its memory; one call in ten at most.

--- a/crates/decide/src/choice.rs
+++ b/crates/decide/src/choice.rs
@@ -54,6 +54,11 @@
 const WAYS_KEPT_OF: usize = 4;
 /// The part of the cold budget that is used at most; the rest is for uneven instances.
 const COLD_SAFETY: f64 = 0.5;
+/// The part of the calls that may go to a cold server only because it has had none for long. More of them warm
+/// returning servers that would else stand by until the warm ones are crowded, and give more slow answers.
+const TRIAL_SHARE: f64 = 0.1;
+/// So long without a call is long, in memories.
+const TRIAL_EVERY: f64 = 0.5;
 /// Pools up to this size are ranked whole; in larger ones half as many are drawn beside the own part.
 const SAMPLE: usize = 12;
 /// And so many more are drawn one by one if none of them may be sent to.
@@ -142,6 +147,8 @@
     reported: f64,
     report_at: Micros,
     sent_since: u32,
+    /// When this balancer sent it something last.
+    used_at: Micros,
     utilisation: Option<f64>,
     fails: u32,
     out_until: Micros,
@@ -209,6 +216,7 @@
     turned_away: f64,
     silent_periods: u32,
     retry_tokens: f64,
+    trials: f64,
     tenants: Vec<Ewma>,
     subscribed: bool,
     ask_wait: Micros,
@@ -266,6 +274,7 @@
             turned_away: 0.0,
             silent_periods: 0,
             retry_tokens: 3.0,
+            trials: 0.0,
             tenants,
             subscribed: !s.ask_discovery,
             ask_wait: 0,
@@ -547,6 +556,7 @@
         }
         self.arrivals.add(now, self.memory, 0.0);
         self.retry_tokens = (self.retry_tokens + RETRY_SHARE).min(10.0);
+        self.trials = (self.trials + TRIAL_SHARE).min(1.0);
         let row = self.row(now, r);
         let class = &self.s.classes[r.class];
         let whole = now + r.coming.clamp(0, TIME_LIMIT);
@@ -662,6 +672,9 @@
             if !self.subset.contains(&b) {
                 score *= OUTSIDE;
             }
+            if self.trial_due(now, id, b) {
+                score /= 1e3;
+            }
             if self.backends[b].out_until > now && !drowned {
                 score *= 1e6;
             }
@@ -674,6 +687,7 @@
         }
         match best {
             Some((_, b)) => {
+                self.trials -= f64::from(u8::from(self.trial_due(now, id, b)));
                 self.send(now, id, b, out);
                 true
             }
@@ -681,6 +695,15 @@
         }
     }
 
+    /// Guards against a cold server that ranks last, so gets no call while the others bear them all, and stays
+    /// cold till they no longer do. Only a first attempt that can wait for its answer is spent on that.
+    fn trial_due(&self, now: Micros, id: RequestId, b: usize) -> bool {
+        let (Some(request), Some(part)) = (self.requests.get(&id), self.cold_part(now, b)) else { return false };
+        let long = now - self.backends[b].used_at > (TRIAL_EVERY * self.memory) as Micros;
+        let in_time = (request.until - now) as f64 * part > self.usual(request.class);
+        self.trials >= 1.0 && long && in_time && request.attempts.is_empty()
+    }
+
     /// Smoothed latency times queue, dearer over a zone border or without a connection at hand.
     fn rank(&mut self, now: Micros, b: usize, class: usize) -> f64 {
         let latency = self.expected(now, b, class);
@@ -871,6 +894,7 @@
         let backend = &mut self.backends[b];
         request.attempts.push(Attempt { backend: b, sent: now, running: true, may_have_run: true });
         backend.sent_since += 1;
+        backend.used_at = now;
         backend.cold_tokens = (backend.cold_tokens - 1.0).max(0.0);
         if !request.coming {
             backend.hold(request.class, now - self.start);
@@ -972,6 +996,7 @@
             reported: 0.0,
             report_at: Micros::MIN / 4,
             sent_since: 0,
+            used_at: Micros::MIN / 4,
             utilisation: None,
             fails: 0,
             out_until: 0,
--- a/crates/decide/tests/common/mod.rs
+++ b/crates/decide/tests/common/mod.rs
@@ -63,9 +63,13 @@
 
     /// A request of a class with two seconds to go, and what was done about it.
     pub fn request(&mut self, class: usize) -> (RequestId, Vec<Action>) {
+        self.request_with(class, 2_000_000)
+    }
+
+    pub fn request_with(&mut self, class: usize, time_left: Micros) -> (RequestId, Vec<Action>) {
         self.next += 1;
         let id = RequestId(self.next);
-        let request = NewRequest { id, class, time_left: 2_000_000, ..NewRequest::default() };
+        let request = NewRequest { id, class, time_left, ..NewRequest::default() };
         (id, self.tell(Event::Request(request)))
     }
 
--- a/crates/decide/tests/decisions.rs
+++ b/crates/decide/tests/decisions.rs
@@ -323,6 +323,36 @@
     assert!(sends[3] >= 1.0 && sends[3] <= 0.36 * 3.0 * carried / 1.5, "{sends:?}");
 }
 
+/// Seen on days when staff put servers back after a restart: of 140 calls in 5 s none went there.
+#[test]
+fn a_cold_server_is_tried_now_and_then_though_warm_ones_would_do_and_only_by_who_can_wait() {
+    let mut servers = pool(4);
+    let mut proxy = Proxy::new(Settings { balancers: 1, ..cold_settings() }, &servers);
+    // Three calls at a time, so that none of the warm ones is ever crowded. `left` says how long they can wait.
+    let serve = |proxy: &mut Proxy, rounds: usize, left: Micros| {
+        let mut to_cold = 0;
+        for _ in 0..rounds {
+            let open: Vec<_> = (0..3).map(|_| proxy.request_with(0, left)).collect();
+            proxy.wait(50_000);
+            for (id, actions) in open {
+                for backend in sent(&actions) {
+                    to_cold += usize::from(backend == BackendId(0));
+                    proxy.outcome(id, 0, backend, Outcome::Ok, 50_000);
+                }
+            }
+        }
+        to_cold
+    };
+    serve(&mut proxy, 200, 500_000);
+    servers[0].up_since = Some(proxy.now);
+    proxy.tell(Event::Backends { scope: ListScope::Full, entries: &servers });
+    // A cold server needs 250 ms at first, and whoever cannot wait for so long is not sent there.
+    assert_eq!(serve(&mut proxy, 40, 100_000), 0);
+    // Two seconds, each with a call a second at most.
+    let tried = serve(&mut proxy, 40, 500_000);
+    assert!((1..=3).contains(&tried), "{tried} calls to the cold server");
+}
+
 #[test]
 fn a_new_balancer_gives_cold_servers_next_to_nothing() {
     let servers: Vec<BackendEntry> =
