--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -18,7 +18,9 @@
 use crate::fleet::{Node, NodeState};
 use crate::hosted::{Role, Setup, Shared, Token};
 use crate::method::{Member, Members, Method, Methods, Protocol, Template, Verb};
-use crate::model::{sockets_suffice, Class, Config, Knowledge, Limits, Listener, Pool, Source};
+use crate::model::{sockets_cut, sockets_suffice, Class, Config, Knowledge, Limits, Listener, Pool, Source};
+use crate::model::{MOST_BODY_BYTES, WHOLE_BODY_BYTES};
+use crate::operators::{self, Operators, OPERATORS_SOCKETS};
 
 /// The longest time that makes sense anywhere, in milliseconds: a day.
 const MOST_MS: u64 = 24 * 3600 * 1000;
@@ -72,9 +74,12 @@
     let pools: Vec<Pool> = file.pools.iter().map(|p| check.pool(p, &server.zone, beside)).collect();
     let bgp = file.bgp.as_ref().map(|written| check.bgp(written, &pool_names));
     let speaking = bgp.as_ref().map_or(0, Bgp::sockets);
-    if !sockets_suffice(sockets.saturating_sub(speaking), &pools) {
+    let operators = file.operators.as_ref().map(|written| check.operators(written, beside));
+    let called = operators.as_ref().map_or(0, |_| OPERATORS_SOCKETS);
+    if !sockets_suffice(sockets.saturating_sub(speaking + called), &pools) {
         let help = "give the process more of them, or the pools more even shares".to_owned();
-        let beside = if speaking > 0 { format!(" beside {speaking} for [bgp]") } else { String::new() };
+        let needs = [("bgp", speaking), ("operators", called)].into_iter().filter(|(_, n)| *n > 0);
+        let beside: String = needs.map(|(what, n)| format!(" beside {n} for [{what}]")).collect();
         let message = format!("`sockets`: {sockets} are too few for {} pools{beside}", pools.len());
         check.fault(server.sockets.span(), message, Some(help));
     }
@@ -101,6 +106,7 @@
         limits,
         keys,
         knowledge,
+        operators,
         bgp,
         methods,
         tenants,
@@ -143,10 +149,17 @@
         let span = knowledge.folder.span();
         check.fault(span, "[knowledge]: a hosted service does not keep what its pools learn", None);
     }
+    let operators = file.operators.as_ref().map(|written| check.operators(written, beside));
     if let Some(bgp) = &file.bgp {
         let help = "serve the address by a process of its own configuration".to_owned();
         check.fault(bgp.asn.span(), "[bgp]: a hosted service does not announce addresses", Some(help));
     }
+    let called = operators.as_ref().map_or(0, |_| OPERATORS_SOCKETS);
+    if called > 0 && sockets_cut(sockets.saturating_sub(called)).is_none() {
+        let message = format!("`sockets`: {sockets} are too few beside {called} for [operators]");
+        check.fault(server.sockets.span(), message, None);
+    }
+    let sockets = sockets.saturating_sub(called);
     let admin = file.admin?;
     let given = &server.capacity;
     let most = |x: &Option<u64>, least: u64| x.unwrap_or(least).max(1);
@@ -165,6 +178,7 @@
     (faults.all().len() == before).then(|| Setup {
         listeners,
         shared: Shared { zone: server.zone, proxies, sockets, capacity, keys, zones },
+        operators,
         admin: listen,
         state: beside(admin.state.get_ref()),
         tokens,
@@ -390,6 +404,20 @@
         }
     }
 
+    /// Where operators call.
+    fn operators(&mut self, written: &operators::File, beside: &dyn Fn(&str) -> PathBuf) -> Operators {
+        let listen = self.address("listen", &written.listen);
+        if !listen.ip().is_loopback() {
+            let help = "it knows no tokens, and so stands on loopback only".to_owned();
+            let message = format!("[operators] `listen`: {listen} is not on loopback");
+            self.fault(written.listen.span(), message, Some(help));
+        }
+        if let Some(word) = written.folder.as_ref().filter(|word| word.get_ref().is_empty()) {
+            self.fault(word.span(), "[operators] `folder`: names none", None);
+        }
+        Operators { listen, folder: written.folder.as_ref().map(|word| beside(word.get_ref())) }
+    }
+
     /// The methods: those that are written, and each class that none is written for by its name.
     fn methods(
         &mut self,
@@ -481,6 +509,12 @@
 
     fn limits(&mut self, limits: &file::Limits) -> Limits {
         let attempts = *limits.attempts.get_ref();
+        let body_bytes = limits.body_bytes.as_ref().map_or(WHOLE_BODY_BYTES, |x| *x.get_ref() as u64);
+        if !(WHOLE_BODY_BYTES..=MOST_BODY_BYTES).contains(&body_bytes) {
+            let message =
+                format!("`body_bytes`: {body_bytes} is not from {WHOLE_BODY_BYTES} to {MOST_BODY_BYTES}");
+            self.fault(limits.body_bytes.as_ref().map_or(0..0, |x| x.span()), message, None);
+        }
         if !ATTEMPTS.contains(&attempts) {
             self.fault(limits.attempts.span(), format!("`attempts`: {attempts} is not from 1 to 10"), None);
         }
@@ -493,6 +527,7 @@
             cold_time: self.ms("cold_ms", &limits.cold_ms, 0),
             cold_from: self.number("cold_from", &limits.cold_from, 0.0..=1.0),
             cross_zone_price: self.number("cross_zone_price", &limits.cross_zone_price, 0.0..=10.0),
+            body_bytes,
         }
     }
 
--- a/crates/config/src/file.rs
+++ b/crates/config/src/file.rs
@@ -7,6 +7,7 @@
 
 use crate::announce;
 use crate::hosted::TenantLimits;
+use crate::operators;
 
 pub(crate) type Word = Spanned<String>;
 
@@ -28,6 +29,8 @@
     pub members: Members,
     /// Where what was learned outlives the process.
     pub knowledge: Option<Knowledge>,
+    /// Where operators call.
+    pub operators: Option<operators::File>,
     /// Addresses that are announced to routers.
     pub bgp: Option<announce::File>,
     /// With it the file is that of a hosted service.
@@ -175,6 +178,7 @@
     pub cold_ms: Spanned<u64>,
     pub cold_from: Spanned<f64>,
     pub cross_zone_price: Spanned<f64>,
+    pub body_bytes: Option<Spanned<usize>>,
 }
 
 impl Default for Limits {
@@ -189,6 +193,7 @@
             cold_ms: ms(10_000),
             cold_from: Spanned::new(0..0, 0.2),
             cross_zone_price: Spanned::new(0..0, 0.05),
+            body_bytes: None,
         }
     }
 }
--- a/crates/config/src/hosted.rs
+++ b/crates/config/src/hosted.rs
@@ -12,6 +12,7 @@
 use serde_json::{json, Value};
 
 use crate::file::{self, Word};
+use crate::operators::Operators;
 use crate::{check, load_as, Config, Fault, Faults, Fleet, Listener, Loaded, Reading, Report};
 
 /// All that administrators may change: a version of it is kept for each change.
@@ -95,6 +96,8 @@
     pub listeners: Vec<Listener>,
     /// What the tenants share.
     pub shared: Shared,
+    /// Where operators call, if they do.
+    pub operators: Option<Operators>,
     /// Where administrators connect.
     pub admin: SocketAddr,
     /// The folder of the state.
@@ -349,7 +352,9 @@
         return Err(fault("`config` is an object with `limits`, `class`, `pool`, `route` and `expect`"));
     };
     let expect = parts.remove("expect").unwrap_or_else(|| json!([]));
-    if let Some(operators) = ["server", "knowledge", "bgp"].into_iter().find(|key| parts.contains_key(*key)) {
+    if let Some(operators) =
+        ["server", "knowledge", "operators", "bgp"].into_iter().find(|key| parts.contains_key(*key))
+    {
         return Err(fault(&format!("`config`: `{operators}` is the operator's")));
     }
     // Tenants share the machine, and none may make it read a file.
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -13,6 +13,7 @@
 mod hosted;
 mod method;
 mod model;
+mod operators;
 mod play;
 
 pub use announce::{Bgp, BgpPeer, MOST_OPERATORS};
@@ -21,6 +22,8 @@
 pub use hosted::{Document, Refused, Role, Setup, Shared, Tenant, TenantDoc, TenantLimits, Tenants, Token};
 pub use method::{escape, Member, Members, Method, Methods, Protocol, Template, Verb};
 pub use model::{sockets_cut, Class, Config, Knowledge, Limits, Listener, Pool, Source};
+pub use model::{MOST_BODY_BYTES, WHOLE_BODY_BYTES};
+pub use operators::{Operators, OPERATORS_SOCKETS};
 pub use play::{Failure, Report, Verdict};
 
 use std::path::{Path, PathBuf};
--- a/crates/config/src/model.rs
+++ b/crates/config/src/model.rs
@@ -10,6 +10,7 @@
 use crate::announce::Bgp;
 use crate::fleet::Node;
 use crate::method::{Methods, Protocol};
+use crate::operators::{Operators, OPERATORS_SOCKETS};
 
 /// All that a process is told.
 #[derive(Clone, Debug)]
@@ -28,6 +29,8 @@
     pub keys: keys::Bounds,
     /// Where what was learned is kept, if it is.
     pub knowledge: Option<Knowledge>,
+    /// Where operators call, if they do.
+    pub operators: Option<Operators>,
     /// What is announced to routers, if anything is.
     pub bgp: Option<Bgp>,
     /// JSON-RPC's methods.
@@ -95,8 +98,15 @@
     pub cold_from: f64,
     /// The price of an attempt that crosses zones, in worth of a request.
     pub cross_zone_price: f64,
+    /// The largest body of a request or an answer over HTTP. What is over [`WHOLE_BODY_BYTES`] flows, and is tried once.
+    pub body_bytes: u64,
 }
 
+/// Bodies of up to so many bytes are held whole.
+pub const WHOLE_BODY_BYTES: u64 = 64 << 10;
+/// The largest that any may be.
+pub const MOST_BODY_BYTES: u64 = 40 << 20;
+
 /// A class of requests.
 #[derive(Clone, Debug)]
 pub struct Class {
@@ -182,7 +192,8 @@
     #[must_use]
     pub fn sockets_cut(&self) -> (usize, usize) {
         let speaking = self.bgp.as_ref().map_or(0, Bgp::sockets);
-        sockets_cut(self.sockets.saturating_sub(speaking)).unwrap_or((LEAST_SOCKETS, LEAST_SOCKETS))
+        let called = self.operators.as_ref().map_or(0, |_| OPERATORS_SOCKETS);
+        sockets_cut(self.sockets.saturating_sub(speaking + called)).unwrap_or((LEAST_SOCKETS, LEAST_SOCKETS))
     }
 
     /// So many sockets, cut up by the pools' shares.
--- a/crates/members/src/maintenance.rs
+++ b/crates/members/src/maintenance.rs
@@ -12,7 +12,7 @@
 /// Names that are known to have been listed, beside those that are out. The one known for longest is forgotten first.
 pub const MOST_KNOWN: usize = 8192;
 /// The longest name, in bytes.
-pub const MOST_NAME: usize = 128;
+pub const MOST_NAME: usize = 320;
 
 /// The first line of what [`Maintenance::encode`] writes, before the checksum.
 const MAGIC: &str = "amberlever-maintenance 1 ";
@@ -24,12 +24,15 @@
     Unknown,
     /// [`MOST_OUT`] are out.
     TooMany,
+    /// Several pools have a node of this name.
+    Several,
 }
 
 impl fmt::Display for Refused {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Refused::Unknown => f.write_str("no such backend was ever listed"),
+            Refused::Several => f.write_str("several pools have it: write POOL/NAME"),
             Refused::TooMany => write!(f, "{MOST_OUT} backends are out already"),
         }
     }
--- a/crates/proxy/src/flow.rs
+++ b/crates/proxy/src/flow.rs
@@ -17,8 +17,8 @@
 use tokio::task::spawn_local;
 use tokio::time::{sleep_until, timeout_at, Instant, Sleep};
 
-/// The largest body that flows, in bytes.
-pub const MOST_FLOW: u64 = 40 << 20;
+/// The largest body that flows on the platform, in bytes.
+pub const MOST_FLOW: u64 = config::MOST_BODY_BYTES;
 /// A body that is slower than this, in bytes a second, is cut off: half of what callers are promised.
 const SLOWEST: u64 = 32 << 10;
 /// And it has this beside it, for its beginning and for pauses.
@@ -31,9 +31,9 @@
     GRACE + Duration::from_millis(bytes.saturating_mul(1000) / SLOWEST)
 }
 
-/// Marks a message whose answer may flow.
+/// Marks a message whose answer may flow, up to so many bytes.
 #[derive(Clone, Copy, Debug)]
-pub struct MayFlow;
+pub struct MayFlow(pub u64);
 
 /// Why a body is not whole.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -148,6 +148,8 @@
     first: Cell<Option<Bytes>>,
     size: SizeHint,
     read: Cell<u64>,
+    /// It is cut off after so many bytes.
+    most: u64,
     /// By then it has come whole; none for a body that waits for its reader.
     until: Option<Instant>,
     stalled: RefCell<Pin<Box<Sleep>>>,
@@ -161,28 +163,31 @@
 
 impl Flow {
     /// A request's body. It is read to its end whatever becomes of the request, as its caller may read no answer before.
-    pub fn of_request(body: Incoming, first: Bytes) -> Flow {
-        let most = body.size_hint().exact().unwrap_or(MOST_FLOW);
-        let mut flow = Flow::new(body, first);
-        (flow.until, flow.drained) = (Some(Instant::now() + most_time(most)), true);
+    /// `most` is the most bytes that it may have.
+    pub fn of_request(body: Incoming, first: Bytes, most: u64) -> Flow {
+        let time = most_time(body.size_hint().exact().unwrap_or(most));
+        let mut flow = Flow::new(body, first, most);
+        (flow.until, flow.drained) = (Some(Instant::now() + time), true);
         flow
     }
 
     /// An answer's body, of which so much has been read.
-    pub fn of_answer(body: Incoming, first: Bytes) -> Flow {
-        Flow::new(body, first)
+    pub fn of_answer(body: Incoming, first: Bytes, most: u64) -> Flow {
+        Flow::new(body, first, most)
     }
 
-    fn new(body: Incoming, first: Bytes) -> Flow {
+    fn new(body: Incoming, first: Bytes, most: u64) -> Flow {
         let rest = body.size_hint();
         let ahead = first.len() as u64;
+        let read = Cell::new(ahead);
         let size = rest.exact().map_or_else(SizeHint::default, |rest| SizeHint::with_exact(rest + ahead));
         let first = Some(first).filter(|f| !f.is_empty());
         Flow {
             body: RefCell::new(Some(body)),
             first: Cell::new(first),
             size,
-            read: Cell::new(0),
+            read,
+            most,
             until: None,
             stalled: RefCell::new(Box::pin(sleep_until(Instant::now() + STALL))),
             begun: Cell::new(false),
@@ -254,7 +259,7 @@
                 return Poll::Ready(None);
             };
             self.read.set(self.read.get() + data.len() as u64);
-            if self.read.get() > MOST_FLOW {
+            if self.read.get() > self.most {
                 return Poll::Ready(Some(Err(Cut::Over)));
             }
             let now = Instant::now();
--- a/crates/proxy/src/gate.rs
+++ b/crates/proxy/src/gate.rs
@@ -2,6 +2,7 @@
 
 use std::any::Any;
 use std::cell::RefCell;
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -11,7 +12,9 @@
 use hyper::{Method, StatusCode};
 use jsonrpc::Call;
 
-use crate::exchange::Attempts;
+use crate::exchange::{Attempts, MOST_BODY};
+use crate::figures::Counts;
+use crate::flow::MOST_FLOW;
 use crate::ids::Ids;
 use crate::inbox::Handle;
 use crate::once::Once;
@@ -51,9 +54,9 @@
         false
     }
 
-    /// May bodies flow that are larger than what is held whole?
-    fn flows(&self) -> bool {
-        false
+    /// The largest body, in bytes. One that is larger than what is held whole flows.
+    fn largest_body(&self) -> u64 {
+        MOST_BODY as u64
     }
 
     /// Is `Retry-After` in whole seconds, as ordinary clients read it?
@@ -91,6 +94,8 @@
     pub method: Option<Arc<str>>,
     /// Where its key is known, if it has one.
     pub once: Option<Once>,
+    /// Where it is counted, if it is.
+    pub counts: Option<Rc<Counts>>,
     pub course: Box<dyn Course>,
 }
 
@@ -133,7 +138,9 @@
     pub names: Names,
     pub settings: Settings,
     /// Says whether there is a list of backends.
-    pub ready: std::rc::Rc<std::cell::Cell<bool>>,
+    pub ready: Rc<std::cell::Cell<bool>>,
+    /// Where its classes are counted.
+    pub counts: Vec<Rc<Counts>>,
 }
 
 struct Only(Handle);
@@ -176,7 +183,8 @@
             _ => None,
         };
         let course = Box::new(Only(self.handle.clone()));
-        Ok(Way { ids: None, class, semantics, deadline, tenant, method: None, once: None, course })
+        let counts = self.counts.get(class).cloned();
+        Ok(Way { ids: None, class, semantics, deadline, tenant, method: None, once: None, counts, course })
     }
 
     fn new_id(&self) -> Option<String> {
@@ -196,8 +204,8 @@
         self.settings.may_end_alone()
     }
 
-    fn flows(&self) -> bool {
-        true
+    fn largest_body(&self) -> u64 {
+        MOST_FLOW
     }
 
     fn whole_seconds(&self) -> bool {
--- a/crates/proxy/src/hosting.rs
+++ b/crates/proxy/src/hosting.rs
@@ -6,7 +6,9 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
+use std::future::Future;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -17,6 +19,7 @@
 use hyper::{header, StatusCode};
 use jsonrpc::Call;
 use limit::{Admitted, Cause, Limiter, TenantId, Usage};
+use members::Refused;
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::spawn_local;
 use tokio::time::{sleep, Instant};
@@ -27,8 +30,11 @@
 use crate::ids::Ids;
 use crate::inbox::Handle;
 use crate::log::say;
+use crate::maintenance::Desk;
 use crate::mapping;
 use crate::once::Table;
+use crate::operators::{self, meant, Operated};
+use crate::pool::Office;
 use crate::process::{self, Doors, Signals};
 use crate::routing::{route, Known, NewIds};
 use crate::snapshot::{Routed, Snapshot};
@@ -81,8 +87,13 @@
     let doors = Doors::bind(&setup.listeners).await?;
     let addresses = doors.addresses();
     let (callers, _) = config::sockets_cut(setup.shared.sockets).unwrap_or((1, 1));
-    let house = Rc::new(House::new(setup.shared.clone(), seed));
+    let (mgmt, office) = Office::open(setup.operators.as_ref()).await?.unzip();
+    let house = Rc::new(House::new(setup.shared.clone(), seed, office));
     house.apply(number, &tenants);
+    if let Some(mgmt) = mgmt {
+        spawn_local(operators::serve(mgmt, Rc::clone(&house) as Rc<dyn Operated>));
+    }
+    let ending = Rc::clone(&house);
     let open = doors.open(callers, |listener, place| {
         Rc::new(Door { house: Rc::clone(&house), listener, new_ids: NewIds::new(seed, place) })
     });
@@ -111,6 +122,7 @@
     });
     started(&addresses);
     signals.end().await;
+    ending.ending.set(true);
     open.close().await;
     obeying.abort();
     sweeping.abort();
@@ -124,6 +136,9 @@
     seed: u64,
     limiter: Rc<RefCell<Limiter>>,
     state: RefCell<State>,
+    /// Where operators call, if they do.
+    office: Option<Office>,
+    ending: Cell<bool>,
 }
 
 #[derive(Default)]
@@ -148,9 +163,10 @@
 }
 
 impl House {
-    fn new(shared: Shared, seed: u64) -> House {
+    fn new(shared: Shared, seed: u64, office: Option<Office>) -> House {
         let limiter = Rc::new(RefCell::new(Limiter::new(shared.capacity)));
-        House { shared, clock: Clock::new(), seed, limiter, state: RefCell::default() }
+        let (clock, state, ending) = (Clock::new(), RefCell::default(), Cell::new(false));
+        House { shared, clock, seed, limiter, state, office, ending }
     }
 
     /// Serves other tenants, or the same ones otherwise, from the next request on. What was taken ends as it was.
@@ -195,7 +211,7 @@
             let running = resident.snapshot.borrow().is_some();
             let told = tenant.config.pools.iter().any(|p| matches!(p.source, Source::Discovery(_)));
             if (running && !same) || (told && !running) {
-                self.start(resident);
+                self.start(name, resident);
             }
         }
         state.tenants = Arc::clone(tenants);
@@ -203,7 +219,8 @@
     }
 
     /// Starts a tenant's pools, or changes them over.
-    fn start(&self, resident: &Resident) -> Rc<Snapshot> {
+    fn start(&self, name: &str, resident: &Resident) -> Rc<Snapshot> {
+        let office = self.office.clone().map(|office| Office { tenant: Some(name.to_owned()), ..office });
         let config = Arc::clone(&resident.tenant.borrow().config);
         let before = resident.snapshot.borrow().clone();
         let snapshot = Rc::new(Snapshot::start(
@@ -212,6 +229,7 @@
             before.as_deref(),
             self.clock,
             self.seed,
+            office.as_ref(),
         ));
         *resident.snapshot.borrow_mut() = Some(Rc::clone(&snapshot));
         snapshot
@@ -225,6 +243,24 @@
         }
     }
 
+    /// Has every pool that runs had a list of nodes?
+    fn is_ready(&self) -> bool {
+        let state = self.state.borrow();
+        state.residents.values().all(|r| r.snapshot.borrow().as_ref().is_none_or(|s| s.is_ready()))
+    }
+
+    /// The pools that run.
+    fn running(&self) -> Vec<Rc<Snapshot>> {
+        self.state.borrow().residents.values().filter_map(|r| r.snapshot.borrow().clone()).collect()
+    }
+
+    /// The desk, and the node that operators mean.
+    fn meant(&self, id: &str) -> Result<(&Desk, String), Refused> {
+        let office = self.office.as_ref().ok_or(Refused::Unknown)?;
+        let called = self.running().iter().flat_map(|snapshot| snapshot.called(id)).collect();
+        Ok((&office.desk, meant(id, called)?))
+    }
+
     fn status(&self) -> BTreeMap<String, Status> {
         let limiter = self.limiter.borrow();
         let state = self.state.borrow();
@@ -237,6 +273,32 @@
     }
 }
 
+impl Operated for House {
+    fn is_serving(&self) -> bool {
+        self.is_ready() && !self.ending.get()
+    }
+
+    fn figures(&self) -> Pin<Box<dyn Future<Output = String> + '_>> {
+        Box::pin(async {
+            let mut now = Vec::new();
+            for snapshot in self.running() {
+                now.extend(snapshot.now().await);
+            }
+            self.office.as_ref().map(|office| office.figures.text(&now)).unwrap_or_default()
+        })
+    }
+
+    fn enter(&self, id: &str) -> Result<(), Refused> {
+        let (desk, id) = self.meant(id)?;
+        desk.enter(&id)
+    }
+
+    fn exit(&self, id: &str) -> Result<(), Refused> {
+        let (desk, id) = self.meant(id)?;
+        desk.exit(&id)
+    }
+}
+
 impl Resident {
     /// Its pools end with what they hold open.
     fn retire(&self) {
@@ -271,14 +333,14 @@
 
 impl Door {
     /// Whose a request is: the listener's tenant, or the one that has its host.
-    fn owner(&self, head: &Parts) -> Result<Rc<Resident>, Turned> {
+    fn owner(&self, head: &Parts) -> Result<(String, Rc<Resident>), Turned> {
         let host = one(&head.headers, header::HOST.as_str())?.unwrap_or_default();
         let (name, resident) = self.resident(host)?;
         // A claim to be another's is refused, never believed.
         if one(&head.headers, TENANT)?.is_some_and(|claimed| claimed != name) {
             return Err(StatusCode::FORBIDDEN.into());
         }
-        Ok(resident)
+        Ok((name, resident))
     }
 
     /// The listener's tenant, or the one that has this host.
@@ -311,13 +373,14 @@
 impl Router for Door {
     fn way(&self, head: &mut Parts, id: &str, body: u64, connection: &Connection) -> Result<Way, Turned> {
         let house = &self.house;
-        let resident = self.owner(head)?;
+        let (name, resident) = self.owner(head)?;
         self.charge(&resident, connection)?;
         resident.asked.set(Instant::now());
         let running = resident.snapshot.borrow().clone();
-        let snapshot = running.unwrap_or_else(|| house.start(&resident));
+        let snapshot = running.unwrap_or_else(|| house.start(&name, &resident));
         let (routed, known) = route(Rc::clone(&snapshot), &self.listener, head, id, &resident.keys)?;
         let worth = rank(&snapshot, known.class);
+        let counts = routed.counts();
         let admitted = house.limiter.borrow_mut().admit(house.clock.now(), resident.id, worth, body);
         let admitted = admitted.map_err(|r| refused(r.cause, r.retry_after))?;
         let course = Limited {
@@ -329,7 +392,8 @@
         };
         let Known { class, semantics, deadline, method, once } = known;
         let ids = Some(resident.ids.clone());
-        Ok(Way { ids, class, semantics, deadline, tenant: None, method, once, course: Box::new(course) })
+        let course = Box::new(course);
+        Ok(Way { ids, class, semantics, deadline, tenant: None, method, once, counts, course })
     }
 
     fn call(&self, call: &Call<'_>) -> Result<(Parts, Option<usize>), Turned> {
@@ -344,8 +408,7 @@
 
     fn is_ready(&self) -> bool {
         // Tenants whose pools do not run yet start with their first request.
-        let state = self.house.state.borrow();
-        state.residents.values().all(|r| r.snapshot.borrow().as_ref().is_none_or(|s| s.is_ready()))
+        self.house.is_ready()
     }
 
     fn whole_seconds(&self) -> bool {
--- a/crates/proxy/src/maintenance.rs
+++ b/crates/proxy/src/maintenance.rs
@@ -6,7 +6,7 @@
 use std::io;
 use std::os::unix::fs::MetadataExt;
 use std::path::{Path, PathBuf};
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::time::{Duration, SystemTime};
 
 use members::{Maintenance, Refused};
@@ -18,7 +18,7 @@
 /// How often the file is looked at: another process may have written it. Far less than what a drain is granted.
 const LOOK: Duration = Duration::from_millis(50);
 /// The largest file that is read, in bytes.
-const MOST_BYTES: u64 = 2 << 20;
+const MOST_BYTES: u64 = 4 << 20;
 
 /// The names of the file, of what will be it, and of the lock.
 const FILE: &str = "amberlever.maintenance";
@@ -28,6 +28,38 @@
 /// What tells one state of the file from another.
 type Mark = (u64, Option<SystemTime>);
 
+/// What operators say of the nodes of one pool.
+#[derive(Clone)]
+pub struct Bans {
+    pub desk: Rc<Desk>,
+    /// Stands before its nodes' names, where there are several pools.
+    pub pool: Option<String>,
+}
+
+impl Bans {
+    /// A list has this node: is it out by hand?
+    pub fn listed(&self, name: &str) -> bool {
+        self.desk.listed(&self.called(name))
+    }
+
+    pub fn is_out(&self, name: &str) -> bool {
+        self.desk.is_out(&self.called(name))
+    }
+
+    /// What operators call a node.
+    pub fn called(&self, name: &str) -> String {
+        self.pool.as_ref().map_or_else(|| name.to_owned(), |pool| format!("{pool}/{name}"))
+    }
+
+    /// The node that operators call this, if it would be one of this pool.
+    pub fn node<'a>(&self, called: &'a str) -> Option<&'a str> {
+        match &self.pool {
+            Some(pool) => called.strip_prefix(pool.as_str())?.strip_prefix('/'),
+            None => Some(called),
+        }
+    }
+}
+
 /// The state of this process, and where it is kept.
 pub struct Desk {
     state: RefCell<Maintenance>,
@@ -36,7 +68,7 @@
     /// Names are known that the file has not.
     unsaved: Cell<bool>,
     complained: Cell<bool>,
-    roster: RefCell<Option<Rc<dyn Listed>>>,
+    rosters: RefCell<Vec<Weak<dyn Listed>>>,
 }
 
 impl Desk {
@@ -48,7 +80,7 @@
             mark: Cell::new(None),
             unsaved: Cell::new(false),
             complained: Cell::new(false),
-            roster: RefCell::new(None),
+            rosters: RefCell::default(),
         };
         desk.catch_up();
         let out = desk.state.borrow().out().count();
@@ -58,9 +90,11 @@
         desk
     }
 
-    /// Who is told of nodes whose state has changed.
-    pub fn tell(&self, roster: Rc<dyn Listed>) {
-        *self.roster.borrow_mut() = Some(roster);
+    /// Who is told of nodes whose state has changed, for as long as it is there.
+    pub fn tell(&self, roster: Weak<dyn Listed>) {
+        let mut rosters = self.rosters.borrow_mut();
+        rosters.retain(|known| known.strong_count() > 0);
+        rosters.push(roster);
     }
 
     /// A list has this node: is it out by hand?
@@ -101,7 +135,7 @@
     }
 
     fn changed(&self, names: &[String]) {
-        if let Some(roster) = &*self.roster.borrow() {
+        for roster in self.rosters.borrow().iter().filter_map(Weak::upgrade) {
             names.iter().for_each(|name| roster.changed(name));
         }
     }
--- a/crates/proxy/src/membership/roster.rs
+++ b/crates/proxy/src/membership/roster.rs
@@ -14,8 +14,9 @@
 
 use crate::backend::Backends;
 use crate::clock::Clock;
+use crate::figures::{Labels, PoolNow};
 use crate::inbox::Handle;
-use crate::maintenance::Desk;
+use crate::maintenance::Bans;
 use crate::memory::figures::{self, Called};
 use crate::memory::Told;
 
@@ -50,15 +51,25 @@
     pub known: Rc<Known>,
     pub handle: Handle,
     pub backends: Rc<Backends>,
-    pub desk: Rc<Desk>,
+    pub bans: Bans,
+}
+
+impl Retold {
+    /// What its pool is now.
+    pub async fn now(&self, place: Labels) -> PoolNow {
+        let by_choice = self.handle.avoided().await;
+        let (listed, by_hand) = self.known.counts(&self.bans);
+        PoolNow { place, listed, avoided: by_hand + by_choice }
+    }
 }
 
 impl Listed for Retold {
-    fn changed(&self, name: &str) {
+    fn changed(&self, called: &str) {
+        let Some(name) = self.bans.node(called) else { return };
         let last =
             self.known.ids.borrow().get(name).filter(|n| n.gone.is_none()).and_then(|n| n.last.clone());
         let Some((entry, dial)) = last else { return };
-        let entry = stricter(entry, self.desk.is_out(name));
+        let entry = stricter(entry, self.bans.is_out(name));
         self.backends.update(&entry, dial);
         self.handle.backends(ListScope::Delta, vec![entry]);
     }
@@ -82,7 +93,7 @@
     pub seq: Option<u64>,
     pub known: Rc<Known>,
     /// What operators say of nodes, where they are asked.
-    pub desk: Option<Rc<Desk>>,
+    pub bans: Option<Bans>,
 }
 
 /// What is known of a pool's nodes beside the list.
@@ -102,10 +113,15 @@
     }
 
     /// How many nodes are listed, and how many of them are out by hand.
-    pub fn counts(&self, desk: &Desk) -> (usize, usize) {
+    pub fn counts(&self, bans: &Bans) -> (usize, usize) {
         let ids = self.ids.borrow();
         let listed = ids.iter().filter(|(_, n)| n.gone.is_none());
-        (listed.clone().count(), listed.filter(|(name, _)| desk.is_out(name)).count())
+        (listed.clone().count(), listed.filter(|(name, _)| bans.is_out(name)).count())
+    }
+
+    /// Is a node of this name listed?
+    pub fn has(&self, name: &str) -> bool {
+        self.ids.borrow().get(name).is_some_and(|named| named.gone.is_none())
     }
 
     /// Something to learn, at once where there is a list.
@@ -146,7 +162,7 @@
         ready: Rc<Cell<bool>>,
     ) -> Roster {
         let heard = Rc::new(Cell::new(Instant::now()));
-        Roster { clock, names, handle, backends, ready, heard, seq: None, known: Rc::default(), desk: None }
+        Roster { clock, names, handle, backends, ready, heard, seq: None, known: Rc::default(), bans: None }
     }
 
     /// Takes a list in, before anything else is sent.
@@ -160,7 +176,7 @@
             if let Some(named) = self.known.ids.borrow_mut().get_mut(&name) {
                 named.last = Some((entry.clone(), dial));
             }
-            let entry = stricter(entry, self.desk.as_ref().is_some_and(|desk| desk.listed(&name)));
+            let entry = stricter(entry, self.bans.as_ref().is_some_and(|bans| bans.listed(&name)));
             self.backends.update(&entry, dial);
             entries.push(entry);
         }
--- a/crates/proxy/src/operators.rs
+++ b/crates/proxy/src/operators.rs
@@ -2,6 +2,9 @@
 
 use std::collections::VecDeque;
 use std::convert::Infallible;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -19,28 +22,73 @@
 use tokio::time::{sleep, timeout};
 
 use crate::guard::caught;
-use crate::platform::Operations;
+use crate::log;
 
 /// Connections that are open at once; the oldest gives way to one more.
-const MOST: usize = 16;
+const MOST: usize = SOCKETS - 2;
 /// Descriptors that the address takes at most.
-pub const SOCKETS: usize = MOST + 2;
+pub const SOCKETS: usize = config::OPERATORS_SOCKETS;
 /// A call has ended within this time, or its connection does.
 const CALL: Duration = Duration::from_secs(10);
 /// The largest head of a call, in bytes.
 const MOST_HEAD: usize = 8 << 10;
 /// The largest body of a call: a backend's id.
-const MOST_ID: usize = 256;
+const MOST_ID: usize = 512;
 /// Pause where accepting failed: trying at once would spin.
 const PAUSE: Duration = Duration::from_millis(20);
 
 /// What the text of figures is.
 const OPEN_METRICS: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
 
+/// What operators call.
+pub trait Operated {
+    /// Does this process take clients?
+    fn is_serving(&self) -> bool;
+
+    /// The figures as text.
+    fn figures(&self) -> Pin<Box<dyn Future<Output = String> + '_>>;
+
+    /// Takes a node out.
+    ///
+    /// # Errors
+    /// Why it stays.
+    fn enter(&self, id: &str) -> Result<(), Refused>;
+
+    /// Uses it again.
+    ///
+    /// # Errors
+    /// There is no such node.
+    fn exit(&self, id: &str) -> Result<(), Refused>;
+}
+
 type Reply = Response<Full<Bytes>>;
 
+/// The one node that operators mean: by its whole name, or by one that a single pool lists, of those `called` so.
+///
+/// # Errors
+/// Several have it.
+pub fn meant(id: &str, mut called: Vec<String>) -> Result<String, Refused> {
+    match (called.pop(), called.is_empty()) {
+        (None, _) => Ok(id.to_owned()),
+        (Some(one), true) => Ok(one),
+        _ => Err(Refused::Several),
+    }
+}
+
+/// Listens for operators, and says so.
+///
+/// # Errors
+/// Why that is not to be had, in a line.
+pub async fn bind(at: SocketAddr) -> Result<TcpListener, String> {
+    let fault = |e| format!("cannot listen on {at}: {e}");
+    let listener = TcpListener::bind(at).await.map_err(fault)?;
+    let address = listener.local_addr().map_err(fault)?;
+    log::say(format_args!("operators: listening on {address}"));
+    Ok(listener)
+}
+
 /// Serves operators for as long as it is polled.
-pub async fn serve(listener: TcpListener, operations: Rc<Operations>) {
+pub async fn serve(listener: TcpListener, operations: Rc<dyn Operated>) {
     let (mut calls, mut open) = (JoinSet::new(), VecDeque::<AbortHandle>::new());
     loop {
         let Ok((stream, _)) = listener.accept().await else {
@@ -57,7 +105,7 @@
             let service = service_fn(|request| {
                 let operations = Rc::clone(&operations);
                 async move {
-                    let reply = caught(call(&operations, request)).await;
+                    let reply = caught(call(&*operations, request)).await;
                     Ok::<_, Infallible>(
                         reply.unwrap_or_else(|| say(StatusCode::INTERNAL_SERVER_ERROR, "fault")),
                     )
@@ -74,7 +122,7 @@
     }
 }
 
-async fn call(operations: &Operations, request: Request<Incoming>) -> Reply {
+async fn call(operations: &dyn Operated, request: Request<Incoming>) -> Reply {
     let (head, body) = request.into_parts();
     let expected = match head.uri.path() {
         "/status" | "/status/metrics" => Method::GET,
@@ -100,7 +148,7 @@
     }
 }
 
-async fn maintain(operations: &Operations, out: bool, body: Incoming) -> Reply {
+async fn maintain(operations: &dyn Operated, out: bool, body: Incoming) -> Reply {
     if body.size_hint().lower() > MOST_ID as u64 {
         return say(StatusCode::BAD_REQUEST, "the body is to be a backend's id, and is too long for one");
     }
@@ -119,7 +167,9 @@
     match done {
         Ok(()) => say(StatusCode::OK, if out { "out" } else { "in use" }),
         Err(refused @ Refused::Unknown) => say(StatusCode::NOT_FOUND, &refused.to_string()),
-        Err(refused @ Refused::TooMany) => say(StatusCode::CONFLICT, &refused.to_string()),
+        Err(refused @ (Refused::TooMany | Refused::Several)) => {
+            say(StatusCode::CONFLICT, &refused.to_string())
+        }
     }
 }
 
--- a/crates/proxy/src/own.rs
+++ b/crates/proxy/src/own.rs
@@ -1,6 +1,6 @@
 //! The mode of own installations: listeners, routes and pools as a configuration file says, changed without loss.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::future::Future;
 use std::net::SocketAddr;
 use std::pin::Pin;
@@ -13,6 +13,7 @@
 use hyper::http::request::Parts;
 use hyper::StatusCode;
 use jsonrpc::Call;
+use members::Refused;
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
@@ -22,6 +23,8 @@
 use crate::mapping;
 use crate::memory::{Memory, Past};
 use crate::once::Table;
+use crate::operators::{self, meant, Operated};
+use crate::pool::Office;
 use crate::process::{self, Doors, Signals};
 use crate::routing::{route, Known, NewIds};
 use crate::snapshot::Snapshot;
@@ -76,7 +79,14 @@
     let clock = Clock::new();
     let (callers, nodes) = config.sockets_cut();
     let keys = Table::new(config.keys, clock);
-    let current = Rc::new(RefCell::new(Rc::new(Snapshot::start(Arc::new(config), nodes, None, clock, seed))));
+    let (mgmt, office) = Office::open(config.operators.as_ref()).await?.unzip();
+    let first = Snapshot::start(Arc::new(config), nodes, None, clock, seed, office.as_ref());
+    let current = Rc::new(RefCell::new(Rc::new(first)));
+    let told_to_end = Rc::<Cell<bool>>::default();
+    if let (Some(mgmt), Some(office)) = (mgmt, office.clone()) {
+        let (current, ending) = (Rc::clone(&current), Rc::clone(&told_to_end));
+        spawn_local(operators::serve(mgmt, Rc::new(Operations { office, current, ending })));
+    }
     let memory = current.borrow().config.knowledge.as_ref().map(|knowledge| {
         if let Some(past) = Past::read(&knowledge.folder) {
             current.borrow().teach(&past);
@@ -100,7 +110,7 @@
     let told = announces.clone();
     let reloading = spawn_local(async move {
         while hangup.recv().await.is_some() {
-            swap(&current, &reload, clock, seed);
+            swap(&current, &reload, clock, seed, office.as_ref());
             table.set_bounds(current.borrow().config.keys);
             if let (Some(announces), Some(bgp)) = (&told, &current.borrow().config.bgp) {
                 announces.reload(bgp);
@@ -109,6 +119,7 @@
     });
     started(&addresses);
     signals.end().await;
+    told_to_end.set(true);
     reloading.abort();
     if let (Some(announces), Some(beating)) = (announces, beating) {
         let mut ended = announces.end();
@@ -149,7 +160,7 @@
 }
 
 /// Puts another configuration in place of the current one, or says in a line why that one stays.
-fn swap(current: &RefCell<Rc<Snapshot>>, reload: &Reload, clock: Clock, seed: u64) {
+fn swap(current: &RefCell<Rc<Snapshot>>, reload: &Reload, clock: Clock, seed: u64, office: Option<&Office>) {
     let before = Rc::clone(&current.borrow());
     let config = reload().and_then(|config| match takes_restart(&before.config, &config) {
         Some(key) => Err(format!("another `{key}` takes a restart")),
@@ -158,7 +169,7 @@
     match config {
         Ok(config) => {
             let (_, nodes) = config.sockets_cut();
-            let after = Snapshot::start(Arc::new(config), nodes, Some(&before), clock, seed);
+            let after = Snapshot::start(Arc::new(config), nodes, Some(&before), clock, seed, office);
             let (number, routes) = (after.number, after.config.table.routes().len());
             let pools = after.config.pools.len();
             *current.borrow_mut() = Rc::new(after);
@@ -176,6 +187,8 @@
         Some("server.sockets")
     } else if before.knowledge != after.knowledge {
         Some("knowledge")
+    } else if before.operators != after.operators {
+        Some("operators")
     } else if before.bgp.is_some() != after.bgp.is_some() {
         Some("bgp")
     } else if listens(&before.bgp) != listens(&after.bgp) {
@@ -190,6 +203,38 @@
     bgp.as_ref().map(|bgp| [bgp.listen, bgp.api])
 }
 
+/// What operators call.
+struct Operations {
+    office: Office,
+    current: Rc<RefCell<Rc<Snapshot>>>,
+    ending: Rc<Cell<bool>>,
+}
+
+impl Operations {
+    fn meant(&self, id: &str) -> Result<String, Refused> {
+        meant(id, self.current.borrow().called(id))
+    }
+}
+
+impl Operated for Operations {
+    fn is_serving(&self) -> bool {
+        self.current.borrow().is_ready() && !self.ending.get()
+    }
+
+    fn figures(&self) -> Pin<Box<dyn Future<Output = String> + '_>> {
+        let snapshot = Rc::clone(&self.current.borrow());
+        Box::pin(async move { self.office.figures.text(&snapshot.now().await) })
+    }
+
+    fn enter(&self, id: &str) -> Result<(), Refused> {
+        self.office.desk.enter(&self.meant(id)?)
+    }
+
+    fn exit(&self, id: &str) -> Result<(), Refused> {
+        self.office.desk.exit(&self.meant(id)?)
+    }
+}
+
 /// Routes the requests of one listener.
 struct Own {
     current: Rc<RefCell<Rc<Snapshot>>>,
@@ -215,6 +260,7 @@
             tenant: None,
             method,
             once,
+            counts: routed.counts(),
             course: Box::new(routed),
         })
     }
@@ -232,6 +278,10 @@
         self.current.borrow().is_ready()
     }
 
+    fn largest_body(&self) -> u64 {
+        self.current.borrow().config.limits.body_bytes
+    }
+
     fn whole_seconds(&self) -> bool {
         true
     }
--- a/crates/proxy/src/passed.rs
+++ b/crates/proxy/src/passed.rs
@@ -1,6 +1,7 @@
-//! A listening socket that whoever started the process holds, and passes on to the next one.
+//! Listening sockets that whoever started the process holds, and passes on to the next one: one that the platform names,
+//! or as many as there are listeners, in their order, as systemd passes them.
 
-use std::net::TcpListener;
+use std::net::{SocketAddr, TcpListener};
 
 use listenfd::ListenFd;
 
@@ -30,3 +31,34 @@
     listener.set_nonblocking(true).map_err(|e| fault(e.to_string()))?;
     Ok(Some(listener))
 }
+
+/// The sockets that were passed on as systemd does it (`LISTEN_FDS`, `LISTEN_PID`), for listeners at these addresses in
+/// their order; none were if there is nothing of the kind.
+///
+/// # Errors
+/// They are others, or no listening sockets, in a line.
+pub fn listeners(wanted: &[SocketAddr]) -> Result<Option<Vec<TcpListener>>, String> {
+    let mut passed = ListenFd::from_env();
+    if passed.len() == 0 {
+        return Ok(None);
+    }
+    if passed.len() != wanted.len() {
+        return Err(format!(
+            "LISTEN_FDS: {} sockets were passed on, and `listen` has {}",
+            passed.len(),
+            wanted.len()
+        ));
+    }
+    let take = |(place, wanted): (usize, &SocketAddr)| {
+        let fault = |e: String| format!("LISTEN_FDS: socket {}: {e}", place + 1);
+        let listener = passed.take_tcp_listener(place).map_err(|e| fault(e.to_string()))?;
+        let listener = listener.ok_or_else(|| fault("taken before".to_owned()))?;
+        let address = listener.local_addr().map_err(|e| fault(e.to_string()))?;
+        if address != *wanted && wanted.port() != 0 {
+            return Err(fault(format!("listens on {address}, and `listen` says {wanted}")));
+        }
+        listener.set_nonblocking(true).map_err(|e| fault(e.to_string()))?;
+        Ok(listener)
+    };
+    wanted.iter().enumerate().map(take).collect::<Result<_, _>>().map(Some)
+}
--- a/crates/proxy/src/platform.rs
+++ b/crates/proxy/src/platform.rs
@@ -1,8 +1,10 @@
 //! The platform's mode: one pool, told by the JSON file that `LB_CONFIG` names.
 
 use std::cell::{Cell, RefCell};
+use std::future::Future;
 use std::net::SocketAddr;
 use std::path::PathBuf;
+use std::pin::Pin;
 use std::rc::Rc;
 
 use config::{sockets_cut, HostList};
@@ -19,13 +21,13 @@
 use crate::backend::{Backends, DRAIN_MARGIN};
 use crate::clock::Clock;
 use crate::driver::Driver;
-use crate::figures::Figures;
+use crate::figures::{Figures, Labels};
 use crate::gate::Platform;
 use crate::ids::Ids;
-use crate::inbox::Handle;
 use crate::log::say;
-use crate::maintenance::Desk;
-use crate::membership::{Discovery, Known, Retold, Roster};
+use crate::maintenance::{Bans, Desk};
+use crate::membership::{Discovery, Listed, Retold, Roster};
+use crate::operators::Operated;
 use crate::peers::Peers;
 use crate::process::{self, Signals};
 use crate::server::{self, Gate};
@@ -79,36 +81,29 @@
 }
 
 /// What operators call.
-pub struct Operations {
-    desk: Rc<Desk>,
+struct Operations {
     figures: Rc<Figures>,
-    known: Rc<Known>,
-    handle: Handle,
+    /// Told of what operators say for as long as it is here.
+    retold: Rc<Retold>,
     ready: Rc<Cell<bool>>,
     ending: Rc<Cell<bool>>,
 }
 
-impl Operations {
-    /// Does this process take clients?
-    pub fn is_serving(&self) -> bool {
+impl Operated for Operations {
+    fn is_serving(&self) -> bool {
         self.ready.get() && !self.ending.get()
     }
 
-    /// The figures as text.
-    pub async fn figures(&self) -> String {
-        let by_choice = self.handle.avoided().await;
-        let (listed, by_hand) = self.known.counts(&self.desk);
-        self.figures.text(listed, by_hand + by_choice)
+    fn figures(&self) -> Pin<Box<dyn Future<Output = String> + '_>> {
+        Box::pin(async { self.figures.text(&[self.retold.now(Labels::new()).await]) })
     }
 
-    /// Takes a backend out.
-    pub fn enter(&self, id: &str) -> Result<(), Refused> {
-        self.desk.enter(id)
+    fn enter(&self, id: &str) -> Result<(), Refused> {
+        self.retold.bans.desk.enter(id)
     }
 
-    /// Uses it again.
-    pub fn exit(&self, id: &str) -> Result<(), Refused> {
-        self.desk.exit(id)
+    fn exit(&self, id: &str) -> Result<(), Refused> {
+        self.retold.bans.desk.exit(id)
     }
 }
 
@@ -191,15 +186,16 @@
     };
     let listener = listener.map_err(fault(config.listen))?;
     let mgmt = match config.mgmt {
-        Some(at) => Some(TcpListener::bind(at).await.map_err(fault(at))?),
+        Some(at) => Some(operators::bind(at).await?),
         None => None,
     };
     let address = listener.local_addr().map_err(|e| format!("cannot listen: {e}"))?;
     let site = config.site;
     let clock = Clock::new();
     let policy = watch_policy(&site);
-    let figures = Rc::new(Figures::new(&site.names.classes));
-    let backends = Rc::new(Backends::new(site.transport, config.backends).counting(figures.tries()));
+    let figures = Rc::new(Figures::new(false));
+    let backends =
+        Rc::new(Backends::new(site.transport, config.backends).counting(figures.tries(&Labels::new())));
     let subscribe = Rc::new(Notify::new());
     let ready = Rc::new(Cell::new(false));
     let peers = match config.peers {
@@ -234,19 +230,15 @@
         });
     }
     if let Some(mgmt) = mgmt {
-        let at = mgmt.local_addr().map_err(|e| format!("cannot listen: {e}"))?;
-        say(format_args!("operators: listening on {at}"));
         let desk = Rc::new(Desk::new(folder));
-        roster.desk = Some(Rc::clone(&desk));
+        let bans = Bans { desk: Rc::clone(&desk), pool: None };
+        roster.bans = Some(bans.clone());
         let (known, handle, backends) = (Rc::clone(&roster.known), handle.clone(), Rc::clone(&backends));
-        let retold =
-            Retold { known: Rc::clone(&known), handle: handle.clone(), backends, desk: Rc::clone(&desk) };
-        desk.tell(Rc::new(retold));
+        let retold = Rc::new(Retold { known, handle, backends, bans });
+        desk.tell(Rc::downgrade(&(Rc::clone(&retold) as Rc<dyn Listed>)));
         let operations = Operations {
-            desk: Rc::clone(&desk),
             figures: Rc::clone(&figures),
-            known,
-            handle,
+            retold,
             ready: Rc::clone(&ready),
             ending: Rc::clone(&ending),
         };
@@ -266,14 +258,10 @@
     spawn_local(async move { backends.sweep().await });
     spawn_local(reload(hangup, moved));
     say(format_args!("listening on {address}"));
-    let router = Platform { handle, names: site.names, settings: site.settings, ready };
-    let gate = Gate {
-        router: Rc::new(router),
-        ids: Ids::default(),
-        protocol: config::Protocol::Http,
-        figures: Some(figures),
-        shared,
-    };
+    let counts = site.names.classes.iter().map(|class| figures.counts(class, &Labels::new())).collect();
+    let router = Platform { handle, names: site.names, settings: site.settings, ready, counts };
+    let gate =
+        Gate { router: Rc::new(router), ids: Ids::default(), protocol: config::Protocol::Http, shared };
     let stop = async move {
         signals.end().await;
         ending.set(true);
--- a/crates/proxy/src/pool.rs
+++ b/crates/proxy/src/pool.rs
@@ -4,11 +4,12 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use config::{Config, Health, Host, HostList, Node, NodeState, Protocol, Source};
+use config::{Config, Health, Host, HostList, Node, NodeState, Operators, Protocol, Source};
 use decide::interface::*;
 use decide::settings::{Names, Transport};
 use members::Policy;
 use route::{Count, Within};
+use tokio::net::TcpListener;
 use tokio::sync::{watch, Notify};
 use tokio::task::{spawn_local, AbortHandle};
 use tokio::time::{sleep, Instant};
@@ -16,14 +17,56 @@
 use crate::backend::{Backends, Speech};
 use crate::clock::Clock;
 use crate::driver::Driver;
+use crate::figures::{Figures, Labels, PoolNow};
 use crate::inbox::Handle;
 use crate::log::say;
-use crate::membership::{Discovery, FileWatch, Known, Roster};
+use crate::maintenance::{Bans, Desk};
+use crate::membership::{Discovery, FileWatch, Known, Listed, Retold, Roster};
 use crate::memory::Told;
+use crate::operators;
 
 /// A source that says nothing for this long is told of, and again each time that doubles.
 const SILENT: Duration = Duration::from_secs(10);
 
+/// Where operators call, and what they read.
+#[derive(Clone)]
+pub struct Office {
+    pub figures: Rc<Figures>,
+    pub desk: Rc<Desk>,
+    /// Whose pools these are, in a hosted service.
+    pub tenant: Option<String>,
+}
+
+impl Office {
+    /// Opens the address that a configuration names, if it does, with what is out by hand from before.
+    ///
+    /// # Errors
+    /// It is not to be had, in a line.
+    pub async fn open(operators: Option<&Operators>) -> Result<Option<(TcpListener, Office)>, String> {
+        let Some(Operators { listen, folder }) = operators else { return Ok(None) };
+        let listener = operators::bind(*listen).await?;
+        if let Some(folder) = folder {
+            std::fs::create_dir_all(folder).map_err(|e| format!("[operators] {}: {e}", folder.display()))?;
+        }
+        let desk = Rc::new(Desk::new(folder.clone()));
+        let followed = Rc::clone(&desk);
+        spawn_local(async move { followed.follow().await });
+        Ok(Some((listener, Office { figures: Rc::new(Figures::new(true)), desk, tenant: None })))
+    }
+
+    /// Where the figures of a pool stand.
+    pub fn place(&self, pool: &str) -> Labels {
+        let tenant = self.tenant.iter().map(|tenant| ("tenant", tenant.clone()));
+        [("pool", pool.to_owned())].into_iter().chain(tenant).collect()
+    }
+
+    /// What operators say of a pool's nodes, which they call `POOL/NAME` or `TENANT/POOL/NAME`.
+    fn bans(&self, pool: &str) -> Bans {
+        let named = self.tenant.as_ref().map_or_else(|| pool.to_owned(), |tenant| format!("{tenant}/{pool}"));
+        Bans { desk: Rc::clone(&self.desk), pool: Some(named) }
+    }
+}
+
 /// A pool. Dropping it ends all that runs for it: nothing of it may be open then.
 pub struct Pool {
     pub name: String,
@@ -37,6 +80,8 @@
     heard: Rc<Cell<Instant>>,
     /// Where the configuration lists its nodes.
     listed: Option<RefCell<Roster>>,
+    /// Told of what operators say, for as long as the pool is there.
+    retold: Option<(Rc<Retold>, Labels)>,
     tasks: Vec<AbortHandle>,
 }
 
@@ -48,7 +93,14 @@
 
 impl Pool {
     /// Starts the pool at this place of a configuration, with so many sockets.
-    pub fn start(config: &Config, place: usize, sockets: usize, clock: Clock, seed: u64) -> Pool {
+    pub fn start(
+        config: &Config,
+        place: usize,
+        sockets: usize,
+        clock: Clock,
+        seed: u64,
+        office: Option<&Office>,
+    ) -> Pool {
         let pool = &config.pools[place];
         let settings = config.settings(pool);
         let limits = &config.limits;
@@ -61,6 +113,10 @@
         let names = Names::new(classes, config.zones.clone(), config.kinds.clone());
         let names = Rc::new(RefCell::new(names));
         let backends = Backends::new(transport, sockets);
+        let backends = match office {
+            Some(office) => backends.counting(office.figures.tries(&office.place(&pool.name))),
+            None => backends,
+        };
         let backends = Rc::new(match pool.protocol {
             Protocol::Http => backends,
             Protocol::JsonRpc { framing, calls } => {
@@ -71,8 +127,16 @@
         let driver = Driver::new(settings, seed, clock, Rc::clone(&backends), None, Rc::clone(&subscribe));
         let handle = driver.handle();
         let ready = Rc::new(Cell::new(false));
-        let roster =
+        let mut roster =
             Roster::new(clock, Rc::clone(&names), handle.clone(), Rc::clone(&backends), Rc::clone(&ready));
+        let retold = office.map(|office| {
+            let bans = office.bans(&pool.name);
+            roster.bans = Some(bans.clone());
+            let (known, handle) = (Rc::clone(&roster.known), handle.clone());
+            let retold = Rc::new(Retold { known, handle, backends: Rc::clone(&backends), bans });
+            office.desk.tell(Rc::downgrade(&(Rc::clone(&retold) as Rc<dyn Listed>)));
+            (retold, office.place(&pool.name))
+        });
         let sweeper = Rc::clone(&backends);
         let mut tasks = vec![spawn_local(driver.run()), spawn_local(async move { sweeper.sweep().await })];
         let mut listed = None;
@@ -105,7 +169,8 @@
             tasks.push(spawn_local(watch_age(pool.name.clone(), Rc::clone(&heard))));
         }
         let tasks = tasks.into_iter().map(|t| t.abort_handle()).collect();
-        Pool { name: pool.name.clone(), handle, backends, clock, names, known, ready, heard, listed, tasks }
+        let name = pool.name.clone();
+        Pool { name, handle, backends, clock, names, known, ready, heard, listed, retold, tasks }
     }
 
     /// Goes on under another configuration that keeps it.
@@ -127,6 +192,17 @@
         Some(self.known.named(&self.name, &learned, self.clock, &self.names.borrow()))
     }
 
+    /// What operators call a node of this name, if it lists one.
+    pub fn called(&self, name: &str) -> Option<String> {
+        self.retold.as_ref().filter(|_| self.known.has(name)).map(|(retold, _)| retold.bans.called(name))
+    }
+
+    /// What it is now, as operators read it.
+    pub async fn now(&self) -> Option<PoolNow> {
+        let (retold, place) = self.retold.as_ref()?;
+        Some(retold.now(place.clone()).await)
+    }
+
     /// How many lists of nodes it has had.
     pub fn lists(&self) -> u64 {
         self.known.lists()
--- a/crates/proxy/src/process.rs
+++ b/crates/proxy/src/process.rs
@@ -13,6 +13,7 @@
 use crate::gate::Router;
 use crate::ids::Ids;
 use crate::log::say;
+use crate::passed;
 use crate::server::{self, Gate};
 
 /// Runs something on one thread to its end.
@@ -52,33 +53,44 @@
 }
 
 /// Listeners that are bound, in their order.
-pub struct Doors(Vec<(Listener, TcpListener, SocketAddr)>);
+pub struct Doors {
+    bound: Vec<(Listener, TcpListener, SocketAddr)>,
+    /// Somebody else holds them as well, and the next process has them.
+    shared: bool,
+}
 
 impl Doors {
     pub async fn bind(listeners: &[Listener]) -> Result<Doors, String> {
         let mut bound = Vec::new();
+        let addresses: Vec<SocketAddr> = listeners.iter().map(|l| l.address).collect();
+        let passed = passed::listeners(&addresses)?;
+        let shared = passed.is_some();
+        let mut passed = passed.into_iter().flatten();
         for listener in listeners {
             let fault = |e| format!("cannot listen on {}: {e}", listener.address);
-            let socket = TcpListener::bind(listener.address).await.map_err(fault)?;
+            let socket = match passed.next() {
+                Some(socket) => TcpListener::from_std(socket).map_err(fault)?,
+                None => TcpListener::bind(listener.address).await.map_err(fault)?,
+            };
             let address = socket.local_addr().map_err(fault)?;
             bound.push((listener.clone(), socket, address));
         }
-        Ok(Doors(bound))
+        Ok(Doors { bound, shared })
     }
 
     pub fn addresses(&self) -> Vec<SocketAddr> {
-        self.0.iter().map(|(_, _, address)| *address).collect()
+        self.bound.iter().map(|(_, _, address)| *address).collect()
     }
 
     /// Serves at each, with a router made for it, and an even part of the callers' sockets.
     pub fn open(self, callers: usize, router: impl Fn(Listener, usize) -> Rc<dyn Router>) -> Open {
-        let callers = (callers / self.0.len().max(1)).max(1);
+        let callers = (callers / self.bound.len().max(1)).max(1);
         let (stop, stopped) = watch::channel(());
         let (ids, mut serving) = (Ids::default(), JoinSet::new());
-        for (place, (listener, socket, address)) in self.0.into_iter().enumerate() {
+        for (place, (listener, socket, address)) in self.bound.into_iter().enumerate() {
             let protocol = listener.protocol;
             let router = router(listener, place);
-            let gate = Gate { router, ids: ids.clone(), protocol, figures: None, shared: false };
+            let gate = Gate { router, ids: ids.clone(), protocol, shared: self.shared };
             let mut stopped = stopped.clone();
             serving.spawn_local(server::run(gate, socket, callers, async move {
                 let _ = stopped.changed().await;
--- a/crates/proxy/src/request.rs
+++ b/crates/proxy/src/request.rs
@@ -12,8 +12,8 @@
 use tokio::time::Instant;
 
 use crate::exchange::{remove_hop_by_hop, Answer, Called, Message, Patience, ID, KEY, MOST_BODY, TIMEOUT};
-use crate::figures::Tally;
-use crate::flow::{self, Content, Flow, Gathered, MayFlow, MOST_FLOW};
+use crate::figures::{Counts, Tally};
+use crate::flow::{self, Content, Flow, Gathered, MayFlow};
 use crate::framing;
 use crate::gate::{one, Connection, Course, Router, Turned, Way};
 use crate::ids::{Claim, Ids};
@@ -59,10 +59,12 @@
     method: Option<Arc<str>>,
     course: Box<dyn Course>,
     pub class: usize,
+    /// Where it is counted.
+    pub counts: Option<Rc<Counts>>,
     /// How long the client waits.
     pub patience: Duration,
-    /// Its answer may flow.
-    flows: bool,
+    /// The largest body of it and of its answer, where they may flow.
+    flows: Option<u64>,
 }
 
 /// Checks a head whole, and finds its way. `body_most` is the most bytes that its body may take.
@@ -81,11 +83,11 @@
         }
     }
     let id = one(&head.headers, ID)?.filter(|id| is_name(id)).ok_or(StatusCode::BAD_REQUEST)?.to_owned();
-    if body_most > if router.flows() { MOST_FLOW } else { MOST_BODY as u64 } {
+    if body_most > router.largest_body() {
         return Err(StatusCode::PAYLOAD_TOO_LARGE.into());
     }
     let way = router.way(head, &id, body_most, connection)?;
-    let Way { ids, class, semantics, deadline, tenant, method, once, course } = way;
+    let Way { ids, class, semantics, deadline, tenant, method, once, counts, course } = way;
     let one = |name: &str| one(&head.headers, name);
     let key = one(KEY)?;
     let keyed = matches!(semantics, Semantics::Deduplicated { .. });
@@ -118,8 +120,9 @@
         method,
         course,
         class,
+        counts,
         patience: Duration::from_millis(ms),
-        flows: false,
+        flows: None,
     })
 }
 
@@ -145,7 +148,7 @@
         let mut new = new;
         if let Some(flow) = body.flow() {
             // What has flowed cannot be sent a second time.
-            let most = body.size_hint().exact().unwrap_or(MOST_FLOW);
+            let most = body.size_hint().exact().or(flows).unwrap_or(MOST_BODY as u64);
             new.attempts = 1;
             new.coming = if flow.ended().is_some() { 0 } else { flow::most_time(most).as_micros() as Micros };
         }
@@ -154,8 +157,9 @@
         if body.flow().is_some() {
             head.extensions.insert(Patience(patience));
         }
-        if flows {
-            head.extensions.insert(MayFlow);
+        // An answer that is kept for repeats is held whole.
+        if let Some(most) = flows.filter(|_| held.is_none()) {
+            head.extensions.insert(MayFlow(most));
         }
         let by_method = |method| Called { method, params: None, by_http: true };
         if let Some(called) = called.or_else(|| method.map(by_method)) {
@@ -187,17 +191,24 @@
     // One of unknown length is over the bound once it is.
     let body_most = body.size_hint().exact().unwrap_or(MOST_BODY as u64);
     let mut opened = open(router, connection, &mut head, body_most)?;
-    tally.is(opened.class);
+    tally.is(opened.counts.take());
     if head.method == Method::GET && body.size_hint().exact() != Some(0) {
         return Err(StatusCode::BAD_REQUEST.into());
     }
-    opened.flows = router.flows();
+    // Nodes that speak JSON-RPC are sent whole messages.
+    let flows =
+        Some(router.largest_body()).filter(|most| *most > MOST_BODY as u64 && opened.method.is_none());
+    opened.flows = flows;
+    if flows.is_none() && body_most > MOST_BODY as u64 {
+        return Err(StatusCode::PAYLOAD_TOO_LARGE.into());
+    }
     let most = body_most.min(MOST_BODY as u64);
-    let until = began + if opened.flows { flow::most_time(most) } else { WHOLE.min(opened.patience) };
+    let until = began + if flows.is_some() { flow::most_time(most) } else { WHOLE.min(opened.patience) };
     let body = match flow::gather(body, MOST_BODY, until).await.map_err(|_| StatusCode::BAD_REQUEST)? {
         Gathered::Whole(body) => body,
-        Gathered::Part(first, rest) if opened.flows && (Instant::now() < until || first.is_empty()) => {
-            let (flow, tally) = (Rc::new(Flow::of_request(rest, first)), Rc::clone(tally));
+        Gathered::Part(first, rest) if flows.is_some() && (Instant::now() < until || first.is_empty()) => {
+            let flow = Rc::new(Flow::of_request(rest, first, router.largest_body()));
+            let tally = Rc::clone(tally);
             flow.at_end(move || tally.taken());
             return opened.close(head, Content::Flowing(flow), None, ids);
         }
--- a/crates/proxy/src/server/http.rs
+++ b/crates/proxy/src/server/http.rs
@@ -124,7 +124,7 @@
         return reply(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE });
     }
     let gate = &callers.gate;
-    let tally = Rc::new(Tally::new(gate.figures.as_ref()));
+    let tally = Rc::<Tally>::default();
     let read = request::read(&*gate.router, &gate.ids, &caller.socket, &caller.kept, &tally, request);
     let answer = match read.await {
         // Its time counts from its last byte; one that flows brings along how long it may take to come.
--- a/crates/proxy/src/server/mod.rs
+++ b/crates/proxy/src/server/mod.rs
@@ -19,7 +19,6 @@
 use tokio::time::{timeout, Instant};
 
 use crate::exchange::MOST_BUFFER;
-use crate::figures::Figures;
 use crate::flow::STALL;
 use crate::gate::{Connection, Router};
 use crate::ids::Ids;
@@ -54,8 +53,6 @@
     pub router: Rc<dyn Router>,
     pub ids: Ids,
     pub protocol: Protocol,
-    /// Where requests are counted.
-    pub figures: Option<Rc<Figures>>,
     /// The listening socket is another process's as well, which goes on with it when this one ends.
     pub shared: bool,
 }
@@ -328,12 +325,12 @@
                 names: site.names,
                 settings: site.settings,
                 ready: Rc::default(),
+                counts: Vec::new(),
             };
             let gate = Gate {
                 router: Rc::new(router),
                 ids: Ids::default(),
                 protocol: Protocol::Http,
-                figures: None,
                 shared: false,
             };
             let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
--- a/crates/proxy/src/server/rpc.rs
+++ b/crates/proxy/src/server/rpc.rs
@@ -19,6 +19,7 @@
 
 use super::{serving, Caller, Callers};
 use crate::exchange::{Answer, Called};
+use crate::figures::{Fate, Tally};
 use crate::gate::Turned;
 use crate::guard::caught;
 use crate::mapping;
@@ -225,14 +226,29 @@
         let call = match entry {
             Ok(Body::Call(call)) => call,
             // An answer to what nobody asked.
-            Ok(Body::Response(_)) => return Entered { id: None, quiet: alone, open: None, taken: Err(None) },
+            Ok(Body::Response(_)) => {
+                return Entered {
+                    id: None,
+                    quiet: alone,
+                    open: None,
+                    taken: Err(None),
+                    tally: Tally::default(),
+                }
+            }
             Err(invalid) => {
                 let error = jsonrpc::error(invalid.id, invalid.code, invalid.why, None);
-                return Entered { id: None, quiet: false, open: None, taken: Err(Some(error)) };
+                return Entered {
+                    id: None,
+                    quiet: false,
+                    open: None,
+                    taken: Err(Some(error)),
+                    tally: Tally::default(),
+                };
             }
         };
         let id: Id = call.id.map(ToOwned::to_owned);
-        let mut entered = Entered { quiet: id.is_none(), id, open: None, taken: Err(None) };
+        let mut entered =
+            Entered { quiet: id.is_none(), id, open: None, taken: Err(None), tally: Tally::default() };
         if let Some(id) = call.id {
             let same = same(id);
             if !self.ids.insert(same.clone()) {
@@ -242,22 +258,27 @@
             }
             entered.open = Some(same);
         }
-        entered.taken = self.way(&call, frame).map_err(|turned| {
+        let taken = self.way(&call, frame, &entered.tally);
+        entered.taken = taken.map_err(|turned| {
+            let refused = turned.status == StatusCode::TOO_MANY_REQUESTS;
+            entered.tally.end(if refused { Fate::Refused } else { Fate::Failed });
             self.unwanted |= turned.cause == Some(limit::Cause::Connections.name());
             Some(turned_away(entered.id.as_deref(), turned))
         });
         entered
     }
 
-    fn way(&self, call: &Call<'_>, frame: &Bytes) -> Result<Taken, Turned> {
+    fn way(&self, call: &Call<'_>, frame: &Bytes, tally: &Tally) -> Result<Taken, Turned> {
         let gate = &self.callers.gate;
         let (mut head, class) = gate.router.call(call)?;
         let body = mapping::body_of(&head, call, frame);
-        let opened = request::open(&*gate.router, &self.caller.kept, &mut head, body.len() as u64)?;
+        let mut opened = request::open(&*gate.router, &self.caller.kept, &mut head, body.len() as u64)?;
         if class.is_some_and(|class| class != opened.class) {
             // Its route is another class's: the configuration has no way for this method.
             return Err(StatusCode::NOT_FOUND.into());
         }
+        tally.is(opened.counts.take());
+        tally.taken();
         let params = call.params.map(|p| frame.slice_ref(p.get().as_bytes()));
         let called = Called { method: (*call.method).into(), params, by_http: false };
         opened.close(head, body.into(), Some(called), &gate.ids)
@@ -349,6 +370,7 @@
     /// Its id, as it is held open.
     open: Option<String>,
     taken: Result<Taken, Option<Vec<u8>>>,
+    tally: Tally,
 }
 
 impl Entered {
@@ -361,7 +383,7 @@
 
     /// Its answer as a message.
     async fn answer(self, callers: &Callers, received: Instant) -> Option<Vec<u8>> {
-        let id = self.id.as_deref();
+        let (id, tally) = (self.id.as_deref(), self.tally);
         let answer = match self.taken {
             Ok(Taken::Sound(sound)) => match caught(serving::serve(callers, *sound, received)).await {
                 Some(answer) => answer,
@@ -370,6 +392,11 @@
             Ok(Taken::Known(answer)) => answer,
             Err(error) => return error,
         };
+        tally.end(match &answer {
+            Answer::Served(..) => Fate::Served,
+            Answer::Refused { .. } => Fate::Refused,
+            Answer::Failed | Answer::TimedOut => Fate::Failed,
+        });
         Some(match answer {
             Answer::Served(headers, body) => {
                 let body = body.whole().unwrap_or_default();
--- a/crates/proxy/src/server/serving.rs
+++ b/crates/proxy/src/server/serving.rs
@@ -49,6 +49,8 @@
         let Answer::Refused { never_ran, .. } = answer else { break answer };
         match course.refused(never_ran) {
             Next::Answer => break answer,
+            // What has flowed cannot be sent a second time, wherever.
+            Next::Again if message.body().flow().is_some() => break answer,
             Next::Fail => break Answer::Failed,
             Next::Again => {
                 new.allowed = course.allowed();
--- a/crates/proxy/src/snapshot.rs
+++ b/crates/proxy/src/snapshot.rs
@@ -10,10 +10,11 @@
 use route::{Count, PoolId, Step};
 
 use crate::clock::Clock;
+use crate::figures::{Counts, PoolNow};
 use crate::gate::{Course, Next};
 use crate::inbox::Handle;
 use crate::memory::Past;
-use crate::pool::Pool;
+use crate::pool::{Office, Pool};
 
 /// A configuration that serves.
 pub struct Snapshot {
@@ -25,6 +26,8 @@
     pools: Vec<Rc<Pool>>,
     /// What each route leaves of each pool, by the places of both; only where that is not all.
     allowed: Vec<Vec<Option<Arc<Allowed>>>>,
+    /// Where the requests of each route are counted, by the places of both; nowhere if nobody reads it.
+    counts: Vec<BTreeMap<usize, Rc<Counts>>>,
 }
 
 impl Snapshot {
@@ -36,6 +39,7 @@
         before: Option<&Snapshot>,
         clock: Clock,
         seed: u64,
+        office: Option<&Office>,
     ) -> Snapshot {
         let number = before.map_or(0, |b| b.number) + 1;
         let parts = config.pool_parts(sockets);
@@ -50,7 +54,7 @@
                 }
                 None => {
                     let seed = seed.wrapping_add((number << 16) + place as u64);
-                    Rc::new(Pool::start(&config, place, parts[place], clock, seed))
+                    Rc::new(Pool::start(&config, place, parts[place], clock, seed, office))
                 }
             });
         }
@@ -68,7 +72,17 @@
         let speaks = config.pools.iter().any(|p| p.protocol != Protocol::Http);
         let method = |class| config.methods.of_class(class).filter(|_| speaks).map(|m| Arc::clone(&m.name));
         let methods = (0..config.classes.len()).map(method).collect();
-        Snapshot { number, config, methods, pools, allowed }
+        let counted = |route: &route::Route| {
+            let class = &config.classes[route.class].name;
+            let of = |pool: PoolId| {
+                let office = office?;
+                let place = office.place(&config.pools[pool.0].name);
+                Some((pool.0, office.figures.counts(class, &place)))
+            };
+            route.pools().filter_map(of).collect()
+        };
+        let counts = config.table.routes().iter().map(counted).collect();
+        Snapshot { number, config, methods, pools, allowed, counts }
     }
 
     /// What a process before has learned.
@@ -89,6 +103,20 @@
         learned
     }
 
+    /// What operators call nodes of this name, in whichever pool.
+    pub fn called(&self, name: &str) -> Vec<String> {
+        self.pools.iter().filter_map(|p| p.called(name)).collect()
+    }
+
+    /// What its pools are now, as operators read it.
+    pub async fn now(&self) -> Vec<PoolNow> {
+        let mut now = Vec::with_capacity(self.pools.len());
+        for pool in &self.pools {
+            now.extend(pool.now().await);
+        }
+        now
+    }
+
     /// What changes with each list of nodes that one of its pools is told.
     pub fn lists(&self) -> (u64, u64) {
         (self.number, self.pools.iter().map(|p| p.lists()).sum())
@@ -129,6 +157,11 @@
         let step = snapshot.config.table.routes()[route].first(preferred, |pool| snapshot.count(route, pool));
         Routed { snapshot, route, step }
     }
+
+    /// Where it is counted, if it is: by the pool that it begins with.
+    pub fn counts(&self) -> Option<Rc<Counts>> {
+        self.snapshot.counts[self.route].get(&self.step.pool.0).cloned()
+    }
 }
 
 impl Course for Routed {
--- a/tests/hosted.rs
+++ b/tests/hosted.rs
@@ -102,6 +102,40 @@
     held.over();
 }
 
+/// Operators take a tenant's node out for as long as they like: over its changes, and beside another's of the same name.
+#[test]
+fn operators_see_tenants_apart_and_take_a_node_of_one_of_them_out() {
+    let (one, two) = (node("one", 0), node("two", 0));
+    let file = hosted_file("", "[operators]\nlisten = \"127.0.0.1:0\"\nfolder = \"operators\"\n");
+    let service = host_service(&file);
+    let puts = |name: &str, node: &SteadyNode, rate: u64| {
+        let limits = json!({ "requests_per_s": rate });
+        let doc = tenant(&format!("{name}.example"), &[node.address], limits);
+        assert_eq!(service.put(&format!("/v1/tenants/{name}"), &doc).status, 200);
+    };
+    puts("one", &one, 1000);
+    puts("two", &two, 1000);
+    let call = |path: &str, id: &str| service.process.call("POST", path, id).0;
+    // Nobody knows a node before its tenant's pools have run.
+    assert_eq!(call("/maintenance/enter", "one/p/n0"), 404);
+    for host in ["one.example", "two.example", "two.example"] {
+        assert_eq!(service.ask(host, "/x").status(), 200);
+    }
+    assert_eq!(call("/maintenance/enter", "n0"), 409);
+    assert_eq!(call("/maintenance/enter", "one/p/n0"), 200);
+    let figure = |name: &str, tenant: &str| {
+        service.process.figure(&format!("edge_lb_{name}{{pool=\"p\",tenant=\"{tenant}\"}}"))
+    };
+    let both = |name: &str| (figure(name, "one"), figure(name, "two"));
+    assert_eq!((both("tries_total"), both("pool_ejected")), ((1, 2), (1, 0)));
+    let asked = |host: &str| service.ask(host, "/x").status();
+    assert_eq!((asked("one.example"), asked("two.example")), (503, 200));
+    puts("one", &one, 900);
+    assert_eq!((asked("one.example"), figure("pool_size", "one")), (503, 1));
+    assert_eq!(call("/maintenance/exit", "one/p/n0"), 200);
+    assert_eq!(asked("one.example"), 200);
+}
+
 /// Calls belong to the listener's tenant, or to the one that has its host, and have the same limits and keys.
 #[test]
 fn calls_by_json_rpc_are_a_tenants_like_any_request() {
--- /dev/null
+++ b/tests/operators.rs
@@ -0,0 +1,168 @@
+//! What operators ask of an own installation: the same address as on the platform, several pools, sockets that outlive a
+//! process.
+mod stubs;
+
+use std::net::{TcpListener, TcpStream};
+use std::os::fd::OwnedFd;
+use std::process::{Command, Stdio};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use stubs::*;
+
+/// Two pools, of which each has a node `n1`, and the second one `n2` besides.
+fn config(listen: &str, nodes: [&Backend; 3], extra: &str) -> String {
+    let [a1, b1, b2] = nodes.map(|n| n.address);
+    format!(
+        r#"
+[server]
+listen = [{{ address = "{listen}" }}]
+[operators]
+listen = "127.0.0.1:0"
+{extra}
+[[class]]
+name = "read"
+aim_ms = 9000
+deadline_ms = 20000
+semantics = "idempotent"
+[[pool]]
+name = "a"
+nodes = [{{ name = "n1", address = "{a1}" }}]
+[[pool]]
+name = "b"
+nodes = [{{ name = "n1", address = "{b1}" }}, {{ name = "n2", address = "{b2}" }}]
+[[route]]
+name = "a"
+match = {{ path = "/a/*" }}
+class = "read"
+pool = "a"
+[[route]]
+name = "b"
+match = {{ path = "/b/*" }}
+class = "read"
+pool = "b"
+"#
+    )
+}
+
+fn get(pool: &str, id: &str) -> String {
+    read(id, 9000).replace("/read/", &format!("/{pool}/"))
+}
+
+#[test]
+fn nodes_of_several_pools_go_out_by_hand_over_a_reload_and_are_counted_apart() {
+    let nodes = [(); 3].map(|()| Backend::of(|_| ok("done")));
+    let text = config("127.0.0.1:0", nodes.each_ref(), "folder = \"kept\"");
+    let process = serve(&text, &[]);
+    for (path, body, status) in [
+        ("/maintenance/enter", "n1", 409),
+        ("/maintenance/enter", "n9", 404),
+        ("/maintenance/enter", "c/n1", 404),
+        ("/maintenance/enter", "n2", 200),
+        ("/maintenance/exit", "b/n2", 200),
+        ("/maintenance/enter", "b/n1", 200),
+    ] {
+        let (answered, line) = process.call("POST", path, body);
+        assert_eq!(answered, status, "{path} {body}: {line}");
+    }
+    let asks = |n: usize, pool: &str, what: &str| {
+        for i in 0..n {
+            assert_eq!(process.ask(&get(pool, &format!("{what}-{pool}-{i}"))).status(), 200);
+        }
+    };
+    asks(10, "b", "out");
+    // Another class and another pool: what is out stays so.
+    process.reload(&text.replace("\"b\"\nnodes", "\"b\"\nshare = 2\nnodes"));
+    process.says("configuration 2");
+    asks(10, "b", "reloaded");
+    asks(5, "a", "other");
+    assert_eq!(nodes.each_ref().map(|n| n.requests().len()), [5, 0, 20]);
+    let figure = |name: &str| process.figure(name);
+    assert_eq!(figure("edge_lb_ok_total{kind=\"read\",pool=\"b\"}"), 20);
+    assert_eq!(figure("edge_lb_ok_total{kind=\"read\",pool=\"a\"}"), 5);
+    assert_eq!(figure("edge_lb_tries_total{pool=\"b\"}"), 20);
+    let pool = |name: &str| ["a", "b"].map(|p| figure(&format!("edge_lb_{name}{{pool=\"{p}\"}}")));
+    assert_eq!((pool("pool_size"), pool("pool_ejected")), ([1, 2], [0, 1]));
+    // It is kept for the next process.
+    drop(process);
+    let folder = folder();
+    let first = serve(&text.replace("\"kept\"", &format!("{folder:?}")), &[]);
+    assert_eq!(first.call("POST", "/maintenance/enter", "a/n1").0, 200);
+    drop(first);
+    let second = serve(&text.replace("\"kept\"", &format!("{folder:?}")), &[]);
+    assert_eq!(second.figure("edge_lb_pool_ejected{pool=\"a\"}"), 1);
+    assert_eq!(second.ask(&get("a", "none")).status(), 503, "all of its nodes are out by hand");
+    assert_eq!(second.figure("edge_lb_shed_total{kind=\"read\",pool=\"a\"}"), 1);
+}
+
+/// Starts the program with a listening socket as systemd would pass it.
+fn start_with(listener: &TcpListener, config: &str, count: usize) -> std::process::Child {
+    let path = folder().join("lb.toml");
+    std::fs::write(&path, config).expect("written");
+    let held = OwnedFd::from(listener.try_clone().expect("another descriptor"));
+    let mut command = Command::new("sh");
+    let line = "LISTEN_PID=$$ exec \"$0\" serve --config \"$1\" 3<&0 </dev/null";
+    command.args(["-c", line, env!("CARGO_BIN_EXE_amberlever")]).arg(&path);
+    command.env("LISTEN_FDS", count.to_string()).env_remove("LB_CONFIG");
+    command.stdin(Stdio::from(held)).stdout(Stdio::null()).stderr(Stdio::piped());
+    command.spawn().expect("the proxy starts")
+}
+
+#[test]
+fn a_process_follows_another_on_a_socket_that_is_passed_on_and_loses_nothing() {
+    let nodes = [(); 3].map(|()| Backend::of(|_| ok("done")));
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let at = listener.local_addr().expect("bound");
+    let text = config(&at.to_string(), nodes.each_ref(), "");
+    let start = || Process::watch(start_with(&listener, &text, 1), folder());
+    let mut old = start();
+    assert_eq!(old.address, at);
+    let mut kept = Caller::of(TcpStream::connect(at).expect("it listens"));
+    assert_eq!(kept.ask(&get("a", "kept-1")).status(), 200);
+    let new = start();
+    assert_eq!(new.call("GET", "/status", "").0, 200);
+    old.terminate();
+    // Nobody else is told; its figures say when it knows.
+    let since = Instant::now();
+    while old.call("GET", "/status", "").0 != 503 {
+        assert!(since.elapsed() < PATIENCE);
+        thread::sleep(Duration::from_millis(1));
+    }
+    let last = kept.ask(&get("a", "kept-2"));
+    assert_eq!((last.status(), last.header("Connection")), (200, Some("close")));
+    for i in 0..30 {
+        assert_eq!(new.ask(&get("b", &format!("new-{i}"))).status(), 200);
+    }
+    drop(kept);
+    assert!(old.end().success());
+    assert_eq!(new.figure("edge_lb_ok_total{kind=\"read\",pool=\"b\"}"), 30);
+}
+
+#[test]
+fn sockets_that_do_not_fit_the_configuration_end_the_program_with_a_line() {
+    let nodes = [(); 3].map(|()| Backend::of(|_| ok("done")));
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let other = TcpListener::bind("127.0.0.1:0").expect("another").local_addr().expect("bound");
+    let right = listener.local_addr().expect("bound").to_string();
+    for (at, count, why) in [(right.clone(), 2, "2 sockets"), (other.to_string(), 1, "listens on")] {
+        let child = start_with(&listener, &config(&at, nodes.each_ref(), ""), count);
+        let ended = child.wait_with_output().expect("it ends");
+        let said = String::from_utf8_lossy(&ended.stderr).into_owned();
+        assert!(!ended.status.success() && said.contains(why), "{said}");
+        assert_eq!(said.lines().count(), 1, "{said}");
+    }
+}
+
+#[test]
+fn an_operators_address_that_is_not_on_loopback_is_no_configuration() {
+    let nodes = [(); 3].map(|()| Backend::of(|_| ok("done")));
+    let text = config("127.0.0.1:0", nodes.each_ref(), "").replacen(
+        "[operators]\nlisten = \"127.0.0.1:0\"",
+        "[operators]\nlisten = \"0.0.0.0:9600\"",
+        1,
+    );
+    let (child, _) = try_serve(&text, &[]);
+    let ended = child.wait_with_output().expect("it ends");
+    let said = String::from_utf8_lossy(&ended.stderr).into_owned();
+    assert!(!ended.status.success() && said.contains("not on loopback"), "{said}");
+}
