--- a/crates/decide/src/choice.rs
+++ b/crates/decide/src/choice.rs
@@ -54,8 +54,8 @@
 const WAYS_KEPT_OF: usize = 4;
 /// The part of the cold budget that is used at most; the rest is for uneven instances.
 const COLD_SAFETY: f64 = 0.5;
-/// The part of the calls that may go to a cold server only because it has had none for long. More of them warm
-/// returning servers that would else stand by until the warm ones are crowded, and give more slow answers.
+/// The part of the calls that may go to a cold server only because it has had none for long. More of them
+/// warm returning servers that would else stand by until others are crowded, and give more slow answers.
 const TRIAL_SHARE: f64 = 0.1;
 /// So long without a call is long, in memories.
 const TRIAL_EVERY: f64 = 0.5;
@@ -695,7 +695,7 @@
         }
     }
 
-    /// Guards against a cold server that ranks last, so gets no call while the others bear them all, and stays
+    /// Guards against a cold server that ranks last, so gets no call while others bear them all, and stays
     /// cold till they no longer do. Only a first attempt that can wait for its answer is spent on that.
     fn trial_due(&self, now: Micros, id: RequestId, b: usize) -> bool {
         let (Some(request), Some(part)) = (self.requests.get(&id), self.cold_part(now, b)) else {
