One piece of code for what daily operations had twice: fates, loopback, test rigs

Read over: an answer's and a refusal's fate were told in both fronts (Answer::fate, Turned::fate); enter and exit stood in each of three Operated (one `meant`); the check for loopback, the operators' sockets and the 64 KiB of whole bodies stood twice; three raw backends, one large answer and one paired measurement were written anew in tests and benchmarks. A cold trial looks at the request only where the server is cold. Behaviour, bounds and assertions are as they were.

--- a/benches/bodies.rs
+++ b/benches/bodies.rs
@@ -8,7 +8,7 @@
 mod stubs;
 
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpStream};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -38,18 +38,10 @@
 
 /// Answers each request with the same body, for as long as its connection lasts.
 fn backend() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
-    let address = listener.local_addr().expect("bound");
-    thread::spawn(move || {
-        for stream in listener.incoming() {
-            let mut stream = stream.expect("accepts");
-            thread::spawn(move || {
-                let mut reader = BufReader::new(stream.try_clone().expect("a copy"));
-                while head(&mut reader) && answer(&mut stream).is_ok() {}
-            });
-        }
-    });
-    address
+    raw_backend(|mut stream| {
+        let mut reader = BufReader::new(stream.try_clone().expect("a copy"));
+        while head(&mut reader) && answer(&mut stream).is_ok() {}
+    })
 }
 
 fn answer(stream: &mut TcpStream) -> std::io::Result<()> {
@@ -72,25 +64,13 @@
 
 /// Connects to each backend's client by copying bytes, and nothing else.
 fn plain(to: SocketAddr) -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
-    let address = listener.local_addr().expect("bound");
-    thread::spawn(move || {
-        for caller in listener.incoming() {
-            let caller = caller.expect("accepts");
-            let node = TcpStream::connect(to).expect("it listens");
-            let (mut from, mut back) =
-                (caller.try_clone().expect("a copy"), node.try_clone().expect("a copy"));
-            thread::spawn(move || {
-                let _ = std::io::copy(&mut from, &mut { node });
-            });
-            thread::spawn(move || {
-                let mut caller = caller;
-                let _ = std::io::copy(&mut back, &mut caller);
-                let _ = caller.shutdown(std::net::Shutdown::Both);
-            });
-        }
-    });
-    address
+    raw_backend(move |mut caller| {
+        let mut node = TcpStream::connect(to).expect("it listens");
+        let (mut from, mut back) = (caller.try_clone().expect("a copy"), node.try_clone().expect("a copy"));
+        thread::spawn(move || std::io::copy(&mut from, &mut node));
+        let _ = std::io::copy(&mut back, &mut caller);
+        let _ = caller.shutdown(std::net::Shutdown::Both);
+    })
 }
 
 /// How long one body takes.
--- a/benches/listeners.rs
+++ b/benches/listeners.rs
@@ -3,6 +3,7 @@
 //! `cargo bench --bench listeners`. Both proxies serve the same stand-in nodes; rounds alternate between them, and
 //! what is told is the ratio of each pair, so that a machine that is busy for a while is busy for both.
 
+mod pairs;
 #[path = "../tests/stubs/mod.rs"]
 mod stubs;
 
@@ -19,35 +20,8 @@
     let nodes: Vec<Backend> = (0..4).map(|_| Backend::new([ok("done")])).collect();
     let platform = Setup::of(&nodes.iter().collect::<Vec<_>>()).start();
     let own = serve(&own_config(&nodes), &[]);
-    let request = read("0000000000000000", 9000);
-    let mut ratios: Vec<f64> = Vec::new();
-    for round in 0..ROUNDS {
-        let mut cost = [0.0; 2];
-        // Who goes first alternates too.
-        for side in [round % 2, 1 - round % 2] {
-            let proxy: &Process = if side == 0 { &platform } else { &own };
-            let before = proxy.cpu_time();
-            let mut caller = proxy.caller();
-            for i in 0..REQUESTS {
-                let answer = caller.ask(&request.replace("0000000000000000", &format!("{i:016x}")));
-                assert_eq!(answer.status(), 200);
-            }
-            cost[side] = (proxy.cpu_time() - before) as f64;
-            nodes.iter().for_each(|n| drop(n.requests()));
-        }
-        if round > 0 {
-            ratios.push(cost[1] / cost[0]);
-        }
-    }
-    ratios.sort_by(f64::total_cmp);
-    let at = |part: f64| ratios[((ratios.len() - 1) as f64 * part) as usize];
-    println!(
-        "own listener / platform listener, processor time a request, {} pairs of {REQUESTS}: median {:.3}, quartiles {:.3} to {:.3}",
-        ratios.len(),
-        at(0.5),
-        at(0.25),
-        at(0.75)
-    );
+    let told = pairs::told([&platform, &own], &nodes, ROUNDS, REQUESTS);
+    println!("own listener / platform listener, {told}");
 }
 
 fn own_config(nodes: &[Backend]) -> String {
--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -20,7 +20,7 @@
 use crate::method::{Member, Members, Method, Methods, Protocol, Template, Verb};
 use crate::model::{sockets_cut, sockets_suffice, Class, Config, Knowledge, Limits, Listener, Pool, Source};
 use crate::model::{MOST_BODY_BYTES, WHOLE_BODY_BYTES};
-use crate::operators::{self, Operators, OPERATORS_SOCKETS};
+use crate::operators::{self, Operators};
 
 /// The longest time that makes sense anywhere, in milliseconds: a day.
 const MOST_MS: u64 = 24 * 3600 * 1000;
@@ -75,7 +75,7 @@
     let bgp = file.bgp.as_ref().map(|written| check.bgp(written, &pool_names));
     let speaking = bgp.as_ref().map_or(0, Bgp::sockets);
     let operators = file.operators.as_ref().map(|written| check.operators(written, beside));
-    let called = operators.as_ref().map_or(0, |_| OPERATORS_SOCKETS);
+    let called = Operators::sockets(operators.as_ref());
     if !sockets_suffice(sockets.saturating_sub(speaking + called), &pools) {
         let help = "give the process more of them, or the pools more even shares".to_owned();
         let needs = [("bgp", speaking), ("operators", called)].into_iter().filter(|(_, n)| *n > 0);
@@ -154,7 +154,7 @@
         let help = "serve the address by a process of its own configuration".to_owned();
         check.fault(bgp.asn.span(), "[bgp]: a hosted service does not announce addresses", Some(help));
     }
-    let called = operators.as_ref().map_or(0, |_| OPERATORS_SOCKETS);
+    let called = Operators::sockets(operators.as_ref());
     if called > 0 && sockets_cut(sockets.saturating_sub(called)).is_none() {
         let message = format!("`sockets`: {sockets} are too few beside {called} for [operators]");
         check.fault(server.sockets.span(), message, None);
@@ -275,6 +275,16 @@
         })
     }
 
+    /// An address for those who are on this machine.
+    fn on_loopback(&mut self, shown: &str, word: &Word) -> SocketAddr {
+        let address = self.address(shown.rsplit('`').nth(1).unwrap_or(shown), word);
+        if !address.ip().is_loopback() {
+            let help = "it knows no tokens, and so stands on loopback only".to_owned();
+            self.fault(word.span(), format!("{shown}: {address} is not on loopback"), Some(help));
+        }
+        address
+    }
+
     fn ms(&mut self, key: &str, value: &Spanned<u64>, least: u64) -> Micros {
         if !(least..=MOST_MS).contains(value.get_ref()) {
             let message = format!("`{key}`: {} is not from {least} to {MOST_MS} ms", value.get_ref());
@@ -406,12 +416,7 @@
 
     /// Where operators call.
     fn operators(&mut self, written: &operators::File, beside: &dyn Fn(&str) -> PathBuf) -> Operators {
-        let listen = self.address("listen", &written.listen);
-        if !listen.ip().is_loopback() {
-            let help = "it knows no tokens, and so stands on loopback only".to_owned();
-            let message = format!("[operators] `listen`: {listen} is not on loopback");
-            self.fault(written.listen.span(), message, Some(help));
-        }
+        let listen = self.on_loopback("[operators] `listen`", &written.listen);
         if let Some(word) = written.folder.as_ref().filter(|word| word.get_ref().is_empty()) {
             self.fault(word.span(), "[operators] `folder`: names none", None);
         }
--- a/crates/config/src/check/announce.rs
+++ b/crates/config/src/check/announce.rs
@@ -34,14 +34,7 @@
             self.fault(written.router_id.span(), format!("`router_id`: {id} identifies nobody"), Some(help));
         }
         let listen = written.listen.as_ref().map(|word| self.address("listen", word));
-        let api = written.api.as_ref().map(|word| {
-            let address = self.address("api", word);
-            if !address.ip().is_loopback() {
-                let help = "it knows no tokens, and so stands on loopback only".to_owned();
-                self.fault(word.span(), format!("`api`: {address} is not on loopback"), Some(help));
-            }
-            address
-        });
+        let api = written.api.as_ref().map(|word| self.on_loopback("`api`", word));
         let hold_s = self.bounded("hold_time_s", &written.hold_time_s, 9, 65535);
         if let Some(given) = written.hold_time_s.as_ref().filter(|x| (1..3).contains(x.get_ref())) {
             let help = "BGP knows 3 s at the least".to_owned();
--- a/crates/config/src/model.rs
+++ b/crates/config/src/model.rs
@@ -10,7 +10,7 @@
 use crate::announce::Bgp;
 use crate::fleet::Node;
 use crate::method::{Methods, Protocol};
-use crate::operators::{Operators, OPERATORS_SOCKETS};
+use crate::operators::Operators;
 
 /// All that a process is told.
 #[derive(Clone, Debug)]
@@ -192,7 +192,7 @@
     #[must_use]
     pub fn sockets_cut(&self) -> (usize, usize) {
         let speaking = self.bgp.as_ref().map_or(0, Bgp::sockets);
-        let called = self.operators.as_ref().map_or(0, |_| OPERATORS_SOCKETS);
+        let called = Operators::sockets(self.operators.as_ref());
         sockets_cut(self.sockets.saturating_sub(speaking + called)).unwrap_or((LEAST_SOCKETS, LEAST_SOCKETS))
     }
 
--- a/crates/config/src/operators.rs
+++ b/crates/config/src/operators.rs
@@ -20,6 +20,13 @@
     pub folder: Option<PathBuf>,
 }
 
+impl Operators {
+    /// The most sockets that the address takes, if there is one.
+    pub(crate) fn sockets(operators: Option<&Operators>) -> usize {
+        operators.map_or(0, |_| OPERATORS_SOCKETS)
+    }
+}
+
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 pub(crate) struct File {
--- a/crates/decide/src/choice.rs
+++ b/crates/decide/src/choice.rs
@@ -698,12 +698,12 @@
     /// Guards against a cold server that ranks last, so gets no call while others bear them all, and stays
     /// cold till they no longer do. Only a first attempt that can wait for its answer is spent on that.
     fn trial_due(&self, now: Micros, id: RequestId, b: usize) -> bool {
-        let (Some(request), Some(part)) = (self.requests.get(&id), self.cold_part(now, b)) else {
-            return false;
-        };
         let long = now - self.backends[b].used_at > (TRIAL_EVERY * self.memory) as Micros;
+        // Most servers are warm, or were used just now: they cost no look at the request.
+        let Some(part) = self.cold_part(now, b).filter(|_| long && self.trials >= 1.0) else { return false };
+        let Some(request) = self.requests.get(&id) else { return false };
         let in_time = (request.until - now) as f64 * part > self.usual(request.class);
-        self.trials >= 1.0 && long && in_time && request.attempts.is_empty()
+        in_time && request.attempts.is_empty()
     }
 
     /// Smoothed latency times queue, dearer over a zone border or without a connection at hand.
--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -11,10 +11,11 @@
 use hyper::header::{self, HeaderName};
 use hyper::{HeaderMap, Request};
 
+use crate::figures::Fate;
 use crate::flow::Content;
 
 /// The largest body that is held whole, and so can be sent a second time; a larger one flows where it may, or is turned away.
-pub const MOST_BODY: usize = 64 << 10;
+pub const MOST_BODY: usize = config::WHOLE_BODY_BYTES as usize;
 /// The largest head of a message, in bytes, and so about what a connection takes of the memory.
 pub const MOST_BUFFER: usize = 16 << 10;
 /// A request's id.
@@ -74,6 +75,17 @@
     TimedOut,
 }
 
+impl Answer {
+    /// What it is counted as.
+    pub fn fate(&self) -> Fate {
+        match self {
+            Answer::Served(..) => Fate::Served,
+            Answer::Refused { .. } => Fate::Refused,
+            Answer::Failed | Answer::TimedOut => Fate::Failed,
+        }
+    }
+}
+
 /// How an attempt or a probe ended.
 pub struct Ended {
     pub outcome: Outcome,
--- a/crates/proxy/src/gate.rs
+++ b/crates/proxy/src/gate.rs
@@ -13,7 +13,7 @@
 use jsonrpc::Call;
 
 use crate::exchange::{Attempts, MOST_BODY};
-use crate::figures::Counts;
+use crate::figures::{Counts, Fate};
 use crate::flow::MOST_FLOW;
 use crate::ids::Ids;
 use crate::inbox::Handle;
@@ -76,6 +76,17 @@
     pub retry_after: Micros,
 }
 
+impl Turned {
+    /// What it is counted as.
+    pub fn fate(&self) -> Fate {
+        if self.status == StatusCode::TOO_MANY_REQUESTS {
+            Fate::Refused
+        } else {
+            Fate::Failed
+        }
+    }
+}
+
 impl From<StatusCode> for Turned {
     fn from(status: StatusCode) -> Self {
         Turned { status, cause: None, retry_after: 0 }
--- a/crates/proxy/src/hosting.rs
+++ b/crates/proxy/src/hosting.rs
@@ -33,7 +33,7 @@
 use crate::maintenance::Desk;
 use crate::mapping;
 use crate::once::Table;
-use crate::operators::{self, meant, Operated};
+use crate::operators::{self, only, Operated};
 use crate::pool::Office;
 use crate::process::{self, Doors, Signals};
 use crate::routing::{route, Known, NewIds};
@@ -254,13 +254,6 @@
         self.state.borrow().residents.values().filter_map(|r| r.snapshot.borrow().clone()).collect()
     }
 
-    /// The desk, and the node that operators mean.
-    fn meant(&self, id: &str) -> Result<(&Desk, String), Refused> {
-        let office = self.office.as_ref().ok_or(Refused::Unknown)?;
-        let called = self.running().iter().flat_map(|snapshot| snapshot.called(id)).collect();
-        Ok((&office.desk, meant(id, called)?))
-    }
-
     fn status(&self) -> BTreeMap<String, Status> {
         let limiter = self.limiter.borrow();
         let state = self.state.borrow();
@@ -288,14 +281,10 @@
         })
     }
 
-    fn enter(&self, id: &str) -> Result<(), Refused> {
-        let (desk, id) = self.meant(id)?;
-        desk.enter(&id)
-    }
-
-    fn exit(&self, id: &str) -> Result<(), Refused> {
-        let (desk, id) = self.meant(id)?;
-        desk.exit(&id)
+    fn meant(&self, id: &str) -> Result<(&Desk, String), Refused> {
+        let office = self.office.as_ref().ok_or(Refused::Unknown)?;
+        let called = self.running().iter().flat_map(|snapshot| snapshot.called(id)).collect();
+        Ok((&office.desk, only(id, called)?))
     }
 }
 
--- a/crates/proxy/src/operators.rs
+++ b/crates/proxy/src/operators.rs
@@ -23,6 +23,7 @@
 
 use crate::guard::caught;
 use crate::log;
+use crate::maintenance::Desk;
 
 /// Connections that are open at once; the oldest gives way to one more.
 const MOST: usize = SOCKETS - 2;
@@ -48,17 +49,11 @@
     /// The figures as text.
     fn figures(&self) -> Pin<Box<dyn Future<Output = String> + '_>>;
 
-    /// Takes a node out.
+    /// The desk that knows of a node, and what it calls the one that operators mean.
     ///
     /// # Errors
-    /// Why it stays.
-    fn enter(&self, id: &str) -> Result<(), Refused>;
-
-    /// Uses it again.
-    ///
-    /// # Errors
-    /// There is no such node.
-    fn exit(&self, id: &str) -> Result<(), Refused>;
+    /// Several have that name.
+    fn meant(&self, id: &str) -> Result<(&Desk, String), Refused>;
 }
 
 type Reply = Response<Full<Bytes>>;
@@ -67,7 +62,7 @@
 ///
 /// # Errors
 /// Several have it.
-pub fn meant(id: &str, mut called: Vec<String>) -> Result<String, Refused> {
+pub fn only(id: &str, mut called: Vec<String>) -> Result<String, Refused> {
     match (called.pop(), called.is_empty()) {
         (None, _) => Ok(id.to_owned()),
         (Some(one), true) => Ok(one),
@@ -163,7 +158,7 @@
     if id.is_empty() {
         return say(StatusCode::BAD_REQUEST, "the body is to be a backend's id");
     }
-    let done = if out { operations.enter(id) } else { operations.exit(id) };
+    let done = operations.meant(id).and_then(|(desk, id)| if out { desk.enter(&id) } else { desk.exit(&id) });
     match done {
         Ok(()) => say(StatusCode::OK, if out { "out" } else { "in use" }),
         Err(refused @ Refused::Unknown) => say(StatusCode::NOT_FOUND, &refused.to_string()),
--- a/crates/proxy/src/own.rs
+++ b/crates/proxy/src/own.rs
@@ -20,10 +20,11 @@
 use crate::clock::Clock;
 use crate::gate::{one, Connection, Router, Turned, Way, TENANT};
 use crate::log::say;
+use crate::maintenance::Desk;
 use crate::mapping;
 use crate::memory::{Memory, Past};
 use crate::once::Table;
-use crate::operators::{self, meant, Operated};
+use crate::operators::{self, only, Operated};
 use crate::pool::Office;
 use crate::process::{self, Doors, Signals};
 use crate::routing::{route, Known, NewIds};
@@ -210,12 +211,6 @@
     ending: Rc<Cell<bool>>,
 }
 
-impl Operations {
-    fn meant(&self, id: &str) -> Result<String, Refused> {
-        meant(id, self.current.borrow().called(id))
-    }
-}
-
 impl Operated for Operations {
     fn is_serving(&self) -> bool {
         self.current.borrow().is_ready() && !self.ending.get()
@@ -226,12 +221,8 @@
         Box::pin(async move { self.office.figures.text(&snapshot.now().await) })
     }
 
-    fn enter(&self, id: &str) -> Result<(), Refused> {
-        self.office.desk.enter(&self.meant(id)?)
-    }
-
-    fn exit(&self, id: &str) -> Result<(), Refused> {
-        self.office.desk.exit(&self.meant(id)?)
+    fn meant(&self, id: &str) -> Result<(&Desk, String), Refused> {
+        Ok((&self.office.desk, only(id, self.current.borrow().called(id))?))
     }
 }
 
--- a/crates/proxy/src/platform.rs
+++ b/crates/proxy/src/platform.rs
@@ -98,12 +98,8 @@
         Box::pin(async { self.figures.text(&[self.retold.now(Labels::new()).await]) })
     }
 
-    fn enter(&self, id: &str) -> Result<(), Refused> {
-        self.retold.bans.desk.enter(id)
-    }
-
-    fn exit(&self, id: &str) -> Result<(), Refused> {
-        self.retold.bans.desk.exit(id)
+    fn meant(&self, id: &str) -> Result<(&Desk, String), Refused> {
+        Ok((&self.retold.bans.desk, id.to_owned()))
     }
 }
 
--- a/crates/proxy/src/server/http.rs
+++ b/crates/proxy/src/server/http.rs
@@ -131,17 +131,13 @@
         Ok(Taken::Sound(sound)) => serving::serve(callers, *sound, Instant::now()).await,
         Ok(Taken::Known(answer)) => answer,
         Err(turned) => {
-            let refused = turned.status == StatusCode::TOO_MANY_REQUESTS;
-            tally.end(if refused { Fate::Refused } else { Fate::Failed });
+            tally.end(turned.fate());
             return turned_away(gate, turned);
         }
     };
-    match &answer {
-        // Ends with its last byte.
-        Answer::Served(_, Content::Flowing(_)) => {}
-        Answer::Served(..) => tally.end(Fate::Served),
-        Answer::Refused { .. } => tally.end(Fate::Refused),
-        Answer::Failed | Answer::TimedOut => tally.end(Fate::Failed),
+    // One that flows ends with its last byte.
+    if !matches!(answer, Answer::Served(_, Content::Flowing(_))) {
+        tally.end(answer.fate());
     }
     match answer {
         Answer::Served(headers, body) => {
--- a/crates/proxy/src/server/rpc.rs
+++ b/crates/proxy/src/server/rpc.rs
@@ -19,7 +19,7 @@
 
 use super::{serving, Caller, Callers};
 use crate::exchange::{Answer, Called};
-use crate::figures::{Fate, Tally};
+use crate::figures::Tally;
 use crate::gate::Turned;
 use crate::guard::caught;
 use crate::mapping;
@@ -226,29 +226,15 @@
         let call = match entry {
             Ok(Body::Call(call)) => call,
             // An answer to what nobody asked.
-            Ok(Body::Response(_)) => {
-                return Entered {
-                    id: None,
-                    quiet: alone,
-                    open: None,
-                    taken: Err(None),
-                    tally: Tally::default(),
-                }
-            }
+            Ok(Body::Response(_)) => return Entered::new(None, alone),
             Err(invalid) => {
                 let error = jsonrpc::error(invalid.id, invalid.code, invalid.why, None);
-                return Entered {
-                    id: None,
-                    quiet: false,
-                    open: None,
-                    taken: Err(Some(error)),
-                    tally: Tally::default(),
-                };
+                return Entered { taken: Err(Some(error)), ..Entered::new(None, false) };
             }
         };
         let id: Id = call.id.map(ToOwned::to_owned);
-        let mut entered =
-            Entered { quiet: id.is_none(), id, open: None, taken: Err(None), tally: Tally::default() };
+        let quiet = id.is_none();
+        let mut entered = Entered::new(id, quiet);
         if let Some(id) = call.id {
             let same = same(id);
             if !self.ids.insert(same.clone()) {
@@ -260,8 +246,7 @@
         }
         let taken = self.way(&call, frame, &entered.tally);
         entered.taken = taken.map_err(|turned| {
-            let refused = turned.status == StatusCode::TOO_MANY_REQUESTS;
-            entered.tally.end(if refused { Fate::Refused } else { Fate::Failed });
+            entered.tally.end(turned.fate());
             self.unwanted |= turned.cause == Some(limit::Cause::Connections.name());
             Some(turned_away(entered.id.as_deref(), turned))
         });
@@ -374,6 +359,11 @@
 }
 
 impl Entered {
+    /// One of which nothing is known yet, and nothing is said.
+    fn new(id: Id, quiet: bool) -> Entered {
+        Entered { id, quiet, open: None, taken: Err(None), tally: Tally::default() }
+    }
+
     fn patience(&self) -> Option<Duration> {
         match &self.taken {
             Ok(Taken::Sound(sound)) => Some(sound.patience),
@@ -392,11 +382,7 @@
             Ok(Taken::Known(answer)) => answer,
             Err(error) => return error,
         };
-        tally.end(match &answer {
-            Answer::Served(..) => Fate::Served,
-            Answer::Refused { .. } => Fate::Refused,
-            Answer::Failed | Answer::TimedOut => Fate::Failed,
-        });
+        tally.end(answer.fate());
         Some(match answer {
             Answer::Served(headers, body) => {
                 let body = body.whole().unwrap_or_default();
--- a/tests/flow.rs
+++ b/tests/flow.rs
@@ -2,7 +2,7 @@
 mod stubs;
 
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpStream};
 use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
@@ -18,20 +18,6 @@
     (0..length).map(|i| (i ^ (i >> 8) ^ (i >> 16)) as u8).collect()
 }
 
-/// A backend that serves each connection as this says, and its address.
-fn backend(serve: impl Fn(TcpStream) + Send + Sync + 'static) -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
-    let address = listener.local_addr().expect("bound");
-    let serve = Arc::new(serve);
-    thread::spawn(move || {
-        for stream in listener.incoming() {
-            let (stream, serve) = (stream.expect("accepts"), Arc::clone(&serve));
-            thread::spawn(move || serve(stream));
-        }
-    });
-    address
-}
-
 fn start(backends: &[SocketAddr]) -> (Process, Discovery, Held) {
     let (discovery, held) = (Discovery::new(), Held::new());
     let mut setup = Setup { aim_ms: AIM_MS, ..Setup::of(&[]) };
@@ -52,6 +38,18 @@
     first
 }
 
+/// A backend with a large answer for each connection.
+fn large() -> SocketAddr {
+    let body = pattern(LARGE);
+    raw_backend(move |mut stream| {
+        let mut reader = BufReader::new(stream.try_clone().expect("a copy"));
+        head(&mut reader);
+        let _ = stream.write_all(format!("HTTP/1.1 200 OK\r\nContent-Length: {LARGE}\r\n\r\n").as_bytes());
+        let _ = stream.write_all(&body);
+        let _ = reader.read_to_end(&mut Vec::new());
+    })
+}
+
 fn connect(held: &Held) -> BufReader<TcpStream> {
     let stream = TcpStream::connect(held.address).expect("it listens");
     stream.set_read_timeout(Some(PATIENCE)).expect("set");
@@ -63,7 +61,7 @@
     for chunked in [false, true] {
         let release = Arc::new(Release::default());
         let held_back = Arc::clone(&release);
-        let node = backend(move |stream| {
+        let node = raw_backend(move |stream| {
             let mut reader = BufReader::new(stream.try_clone().expect("a copy"));
             head(&mut reader);
             let (mut stream, body) = (stream, pattern(LARGE));
@@ -114,15 +112,7 @@
 
 #[test]
 fn answers_that_nobody_reads_wait_and_take_no_memory() {
-    let body = Arc::new(pattern(LARGE));
-    let node = backend(move |stream| {
-        let mut reader = BufReader::new(stream.try_clone().expect("a copy"));
-        head(&mut reader);
-        let mut stream = stream;
-        let _ = stream.write_all(format!("HTTP/1.1 200 OK\r\nContent-Length: {LARGE}\r\n\r\n").as_bytes());
-        let _ = stream.write_all(&body);
-        let _ = reader.read_to_end(&mut Vec::new());
-    });
+    let node = large();
     let (process, _discovery, held) = start(&[node]);
     let (_, before) = process.holds();
     let mut callers = Vec::new();
@@ -143,7 +133,7 @@
 
 #[test]
 fn an_answer_that_breaks_off_ends_so_that_its_caller_can_tell() {
-    let node = backend(|stream| {
+    let node = raw_backend(|stream| {
         let mut reader = BufReader::new(stream.try_clone().expect("a copy"));
         head(&mut reader);
         let mut stream = stream;
@@ -165,14 +155,7 @@
 
 #[test]
 fn answers_that_are_under_way_outlive_an_upgrade() {
-    let node = backend(|stream| {
-        let mut reader = BufReader::new(stream.try_clone().expect("a copy"));
-        head(&mut reader);
-        let mut stream = stream;
-        let _ = stream.write_all(format!("HTTP/1.1 200 OK\r\nContent-Length: {LARGE}\r\n\r\n").as_bytes());
-        let _ = stream.write_all(&pattern(LARGE));
-        let _ = reader.read_to_end(&mut Vec::new());
-    });
+    let node = large();
     let (discovery, held) = (Discovery::new(), Held::new());
     let mut setup = Setup { aim_ms: AIM_MS, ..Setup::of(&[]) };
     setup.hosts = vec![host("s-0", node, "SERVING")];
@@ -203,7 +186,7 @@
 
 /// A backend that reads a whole request with this length and says how much came.
 fn counting() -> SocketAddr {
-    backend(|stream| {
+    raw_backend(|stream| {
         let mut reader = BufReader::new(stream.try_clone().expect("a copy"));
         head(&mut reader);
         let mut body = vec![0; LARGE];
@@ -318,14 +301,7 @@
 
 #[test]
 fn in_own_installations_large_answers_flow_up_to_the_bound_that_is_set() {
-    let node = backend(|stream| {
-        let mut reader = BufReader::new(stream.try_clone().expect("a copy"));
-        head(&mut reader);
-        let mut stream = stream;
-        let _ = stream.write_all(format!("HTTP/1.1 200 OK\r\nContent-Length: {LARGE}\r\n\r\n").as_bytes());
-        let _ = stream.write_all(&pattern(LARGE));
-        let _ = reader.read_to_end(&mut Vec::new());
-    });
+    let node = large();
     let process = own(node, &format!("body_bytes = {LARGE}"));
     let answer = process.ask(&read("down", 9000));
     assert!(answer.status() == 200 && answer.body == pattern(LARGE));
--- a/tests/stubs/mod.rs
+++ b/tests/stubs/mod.rs
@@ -197,6 +197,20 @@
     }
 }
 
+/// A backend that serves each connection as this says, and its address.
+pub fn raw_backend(serve: impl Fn(TcpStream) + Send + Sync + 'static) -> SocketAddr {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("bound");
+    let serve = Arc::new(serve);
+    thread::spawn(move || {
+        for stream in listener.incoming() {
+            let (stream, serve) = (stream.expect("accepts"), Arc::clone(&serve));
+            thread::spawn(move || serve(stream));
+        }
+    });
+    address
+}
+
 /// A listening socket that is held for proxies, and a folder that they share.
 pub struct Held {
     listener: std::net::TcpListener,
--- a/tests/ways_out.rs
+++ b/tests/ways_out.rs
@@ -3,7 +3,7 @@
 
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
@@ -71,19 +71,11 @@
 
 /// A backend that keeps account of what it has read whole.
 fn backend(seen: Seen) -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
-    let address = listener.local_addr().expect("bound");
-    thread::spawn(move || {
-        for stream in listener.incoming() {
-            let (stream, seen) = (stream.expect("accepts"), Arc::clone(&seen));
-            thread::spawn(move || {
-                let mut reader = BufReader::new(stream.try_clone().expect("a copy"));
-                while serve(&mut reader, &stream, &seen).is_some() {}
-                let _ = stream.shutdown(Shutdown::Both);
-            });
-        }
-    });
-    address
+    raw_backend(move |stream| {
+        let mut reader = BufReader::new(stream.try_clone().expect("a copy"));
+        while serve(&mut reader, &stream, &seen).is_some() {}
+        let _ = stream.shutdown(Shutdown::Both);
+    })
 }
 
 /// Serves a request; None where its connection is to end.
@@ -188,15 +180,17 @@
     let mut setup = Setup { aim_ms: 4000, ..Setup::of(&[]) };
     setup.hosts = nodes.iter().enumerate().map(|(i, b)| host(&format!("s-{i}"), *b, "SERVING")).collect();
     let process = held.start(&with_operators(&setup.config(discovery.address)));
-    let sum = |text: &str| {
-        let of = |name: &str| -> u64 {
-            let lines = text.lines().filter(|l| l.starts_with(name));
-            lines.filter_map(|l| l.rsplit(' ').next()?.parse::<u64>().ok()).sum()
-        };
+    let read_figures = || process.call("GET", "/status/metrics", "").1;
+    let sum = |text: &str, name: &str| -> u64 {
+        let lines = text.lines().filter(|l| l.starts_with(name));
+        lines.filter_map(|l| l.rsplit(' ').next()?.parse::<u64>().ok()).sum()
+    };
+    let figures = || {
+        let text = read_figures();
+        let of = |name: &str| sum(&text, name);
         let ended = of("edge_lb_ok_total") + of("edge_lb_shed_total") + of("edge_lb_errors_total");
         (ended, of("edge_lb_active"), of("edge_lb_tries_total"))
     };
-    let figures = || sum(&process.call("GET", "/status/metrics", "").1);
     let (mut began, mut id, mut told) = (0, 0, BTreeMap::<u16, u64>::new());
     for round in 0..40 {
         let ways: Vec<Way> = (0..6).map(|_| WAYS[rng.usize(0..WAYS.len())]).collect();
@@ -248,11 +242,8 @@
         }
     }
     // What callers were told is a part of what was counted under that name: who left was told nothing.
-    let of = |name: &str| {
-        let text = process.call("GET", "/status/metrics", "").1;
-        let lines = text.lines().filter(|l| l.starts_with(name)).map(str::to_owned).collect::<Vec<_>>();
-        lines.iter().filter_map(|l| l.rsplit(' ').next()?.parse::<u64>().ok()).sum::<u64>()
-    };
+    let text = read_figures();
+    let of = |name: &str| sum(&text, name);
     let heard = |is: &dyn Fn(u16) -> bool| told.iter().filter(|(s, _)| is(**s)).map(|(_, n)| n).sum::<u64>();
     assert!(of("edge_lb_ok_total") >= heard(&|s| s < 300), "{told:?}");
     assert!(of("edge_lb_shed_total") >= heard(&|s| s == 429 || s == 503), "{told:?}");
