Small answers are held whole until their request's time is up, not passed on in part

Followed by id, request: 25.135 flow begins, first 237 of 339 bytes 25.750 told to end 3.7 s ago, caller busy, answer flowing Its node sent 237 bytes of 339 and nothing more. The proxy passed them on after 100 ms and waited for the rest for 10 s (STALL), past the request's time and the kill. Ruled out: a kill figure that grows with callers' words (serving on for 2.5 s, killed after 3.71 s, both as reckoned), the backlog, heads in pieces, second attempts. At fault: backend/mod.rs, read, which passed on any answer after 100 ms, and flow.rs, which knew no time but STALL.

Answers known to be of 64 KiB at most are owed whole in time, so they are held until then and fail whole, or are asked for again if they break off. Those of unknown length go on as before and are cut off when their request's time is up, unless they come as fast as callers are promised, or have passed 64 KiB, where the first bytes count. Both tests were seen to fail on the state before (no whole answer within ten seconds).

--- a/crates/proxy/src/backend/mod.rs
+++ b/crates/proxy/src/backend/mod.rs
@@ -530,9 +530,12 @@
         let (head, body) = response.into_parts();
         let report = head.headers.get_all(LOAD_HEADER).iter().find_map(|v| self.report(v.as_bytes()));
         let turned_away = head.headers.get(NOT_PROCESSED).is_some_and(|v| v == "1");
-        let may_flow = order.message.extensions().get().filter(|_| head.status == StatusCode::OK).copied();
+        // Small ones are owed whole, and held whole may be asked for again should they break off.
+        let may_flow = order.message.extensions().get();
+        let may_flow =
+            may_flow.filter(|_| head.status == StatusCode::OK && !flow::is_owed_whole(&body)).copied();
         let body = if may_flow.is_some() {
-            // Small ones that come at once are whole, and may be asked for again; others go on as they come.
+            // Those of unknown length are gathered for a while, and go on as they come if that is not enough.
             flow::gather(body, MOST_BODY, Instant::now() + GATHERED).await
         } else {
             let whole = Limited::new(body, MOST_BODY).collect().await;
@@ -550,7 +553,12 @@
         let (content, link) = match body {
             Gathered::Whole(body) => (body.into(), Some(link)),
             Gathered::Part(first, rest) => {
-                let flow = Rc::new(Flow::of_answer(rest, first, may_flow.map_or(0, |MayFlow(most)| most)));
+                let flow = Rc::new(Flow::of_answer(
+                    rest,
+                    first,
+                    may_flow.map_or(0, |MayFlow(most)| most),
+                    order.until,
+                ));
                 // Kept open until then; dropped with the body, it ends there.
                 let (backends, id) = (Rc::clone(self), order.backend);
                 flow.at_end(move || drop(spawn_local(async move { backends.reuse(id, Some(link)).await })));
--- a/crates/proxy/src/flow.rs
+++ b/crates/proxy/src/flow.rs
@@ -31,6 +31,22 @@
     GRACE + Duration::from_millis(bytes.saturating_mul(1000) / SLOWEST)
 }
 
+/// Bodies up to so many bytes are owed whole by the time of their request; of larger ones the first bytes are.
+const OWED_WHOLE: u64 = config::WHOLE_BODY_BYTES;
+
+/// Is this body known to be one that is owed whole in time? Nothing is gained by passing on a part of it.
+pub fn is_owed_whole(body: &Incoming) -> bool {
+    body.size_hint().upper().is_some_and(|most| most <= OWED_WHOLE)
+}
+
+/// For how long its sender may have been waited for, all in all, where `read` bytes of it have come and its request's
+/// time is up; None for one whose time was that of its first bytes. Guards against an answer of unknown length that
+/// never ends: its caller would hear no end of it, and a proxy that is to leave would be killed over it. Does harm
+/// where a large answer begins late and comes more slowly than callers are promised.
+fn may_wait(read: u64) -> Option<Duration> {
+    (read <= OWED_WHOLE).then(|| Duration::from_millis(read * 1000 / SLOWEST))
+}
+
 /// Marks a message whose answer may flow, up to so many bytes.
 #[derive(Clone, Copy, Debug)]
 pub struct MayFlow(pub u64);
@@ -152,6 +168,11 @@
     most: u64,
     /// By then it has come whole; none for a body that waits for its reader.
     until: Option<Instant>,
+    /// An answer of unknown length: when its request's time is up.
+    due: Option<Instant>,
+    /// How long its sender has been waited for, and since when it is now.
+    waited: Cell<(Duration, Option<Instant>)>,
+    /// When it is given up should nothing more come.
     stalled: RefCell<Pin<Box<Sleep>>>,
     begun: Cell<bool>,
     ended: Cell<Option<Instant>>,
@@ -171,9 +192,12 @@
         flow
     }
 
-    /// An answer's body, of which so much has been read.
-    pub fn of_answer(body: Incoming, first: Bytes, most: u64) -> Flow {
-        Flow::new(body, first, most)
+    /// An answer's body, of which so much has been read; the time of its request is up at `due`.
+    pub fn of_answer(body: Incoming, first: Bytes, most: u64, due: Instant) -> Flow {
+        let due = Some(due).filter(|_| body.size_hint().exact().is_none());
+        let mut flow = Flow::new(body, first, most);
+        flow.due = due;
+        flow
     }
 
     fn new(body: Incoming, first: Bytes, most: u64) -> Flow {
@@ -189,6 +213,8 @@
             read,
             most,
             until: None,
+            due: None,
+            waited: Cell::default(),
             stalled: RefCell::new(Box::pin(sleep_until(Instant::now() + STALL))),
             begun: Cell::new(false),
             ended: Cell::new(None),
@@ -245,9 +271,14 @@
         loop {
             let Poll::Ready(frame) = Pin::new(&mut *incoming).poll_frame(cx) else {
                 let mut stalled = self.stalled.borrow_mut();
+                let late = self.waits(Instant::now());
+                if let Some(late) = late.filter(|late| *late < stalled.deadline()) {
+                    stalled.as_mut().reset(late);
+                }
                 ready!(stalled.as_mut().poll(cx));
                 return Poll::Ready(Some(Err(Cut::Late)));
             };
+            self.waits_no_more(Instant::now());
             let Some(frame) = frame else {
                 self.end();
                 return Poll::Ready(None);
@@ -276,6 +307,20 @@
         }
     }
 
+    /// It waits for its sender: until when, if that is bounded by the time of its request.
+    fn waits(&self, now: Instant) -> Option<Instant> {
+        let (waited, since) = self.waited.get();
+        let since = since.unwrap_or(now);
+        self.waited.set((waited, Some(since)));
+        let left = may_wait(self.read.get())?.saturating_sub(waited);
+        Some(self.due?.max(since + left))
+    }
+
+    fn waits_no_more(&self, now: Instant) {
+        let (waited, since) = self.waited.get();
+        self.waited.set((waited + since.map_or(Duration::ZERO, |since| now - since), None));
+    }
+
     /// Reads what nobody wants, to its end or until its time is up.
     async fn discard(mut body: Incoming, until: Instant) {
         let rest =
--- a/tests/flow.rs
+++ b/tests/flow.rs
@@ -12,6 +12,8 @@
 const LARGE: usize = 8 << 20;
 /// Time enough for what is quick on a busy machine; an upload takes longer.
 const AIM_MS: u32 = 2000;
+/// Who sends nothing of a body counts as stalled after 10 s.
+const LONG_BEFORE_A_STALL: Duration = Duration::from_secs(6);
 
 /// Bytes in which none could be lost, doubled or moved unseen.
 fn pattern(length: usize) -> Vec<u8> {
@@ -153,6 +155,44 @@
     assert_eq!(process.figure("edge_lb_ok_total{kind=\"read\"}"), 0);
 }
 
+/// A backend that answers with this at once, and with nothing more.
+fn unfinished(answer: &'static str) -> SocketAddr {
+    raw_backend(move |mut stream| {
+        let mut reader = BufReader::new(stream.try_clone().expect("a copy"));
+        head(&mut reader);
+        let _ = stream.write_all(answer.as_bytes());
+        let _ = reader.read_to_end(&mut Vec::new());
+    })
+}
+
+#[test]
+fn a_small_answer_that_never_ends_fails_whole_when_its_time_is_up() {
+    let (process, _discovery, held) =
+        start(&[unfinished("HTTP/1.1 200 OK\r\nContent-Length: 339\r\n\r\nthe first of it")]);
+    let began = Instant::now();
+    let answer = Caller::of(TcpStream::connect(held.address).expect("it listens")).ask(&read("r-1", 700));
+    assert!([503, 504].contains(&answer.status()), "{answer:?}");
+    assert!(began.elapsed() < LONG_BEFORE_A_STALL, "{:?}", began.elapsed());
+    assert_eq!(process.figure("edge_lb_active"), 0);
+}
+
+#[test]
+fn an_answer_of_unknown_length_that_never_ends_is_cut_off_when_its_time_is_up() {
+    let (process, _discovery, held) = start(&[unfinished(
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n10\r\nthe first of it.\r\n",
+    )]);
+    let mut caller = connect(&held);
+    let began = Instant::now();
+    caller.get_mut().write_all(read("r-1", 700).as_bytes()).expect("written");
+    assert!(head(&mut caller).contains(" 200 "));
+    let mut all = Vec::new();
+    let _ = caller.read_to_end(&mut all);
+    assert!(all.starts_with(b"10\r\n") && !all.ends_with(b"0\r\n\r\n"), "its caller can tell");
+    let took = began.elapsed();
+    assert!(took > Duration::from_millis(500) && took < LONG_BEFORE_A_STALL, "{took:?}");
+    process.figure_becomes("edge_lb_errors_total{kind=\"read\"}", 1);
+}
+
 #[test]
 fn answers_that_are_under_way_outlive_an_upgrade() {
     let node = large();
