The end of a process is a pure state machine that answers all it took before the kill

Need: constants in server/mod.rs and serving.rs said when a proxy that was told to end does what, and three ways to lose a taken request followed from them, each seen in a test on the state before: - the kill was reckoned from the longest wait that any caller named (server/mod.rs, waits), so a caller that names a minute moved it from 1.7 to 3.7 s with deadlines of one second: 'serving on for 2.5 s', answers due after the kill; - only what was read after the word to end was cut short (serving.rs); a request in hand that waits for longer was open at the kill (answered 20.0 s after the word); - a request half of which had been read when idle connections were closed was dropped with its connection. Also: half-read requests held the process for a second whatever the deadlines, past a kill at 0.75 s; a connection just accepted from the backlog was closed before its first bytes came.

crates/shutdown decides it now, pure: told, serving, closing, only answers, left; an only proxy, one of many, one with a shared socket, and one that nobody kills are its terms. Its margin before the kill grows with its own lateness. Three loopback tests, seen to fail on the state before: 19.99 s, no whole answer, serving on for another time.

--- a/crates/proxy/src/gate.rs
+++ b/crates/proxy/src/gate.rs
@@ -49,6 +49,11 @@
         Duration::ZERO
     }
 
+    /// Is that all that counts, and does a kill follow the word to end that soon?
+    fn is_killed(&self) -> bool {
+        false
+    }
+
     /// May callers have nowhere else to go while this proxy ends?
     fn may_end_alone(&self) -> bool {
         false
@@ -211,6 +216,10 @@
         Duration::from_micros(longest.unwrap_or_default().max(0) as u64)
     }
 
+    fn is_killed(&self) -> bool {
+        true
+    }
+
     fn may_end_alone(&self) -> bool {
         self.settings.may_end_alone()
     }
--- a/crates/proxy/src/server/http.rs
+++ b/crates/proxy/src/server/http.rs
@@ -22,7 +22,7 @@
 use crate::gate::Turned;
 use crate::guard::caught;
 use crate::request::{self, Taken};
-use crate::socket::{Socket, Unread};
+use crate::socket::Socket;
 
 /// Says which limit refused a request.
 const CAUSE: &str = "x-refusal-cause";
@@ -108,8 +108,8 @@
         () = caller.drop.notified() => return,
         () = caller.close.notified() => {}
     }
-    // A request that has come in just now is answered first; its answer says that the connection ends.
-    if caller.busy.get() || caller.socket.unread() != Unread::Data {
+    // A request that has come in just now, or a part of it, is answered first; its answer says that the connection ends.
+    if caller.busy.get() || !caller.has_begun() {
         connection.as_mut().graceful_shutdown();
     }
     tokio::select! {
@@ -120,7 +120,7 @@
 
 async fn handle(callers: &Callers, caller: &Rc<Caller>, request: Request<Incoming>) -> Reply {
     if request.uri().path() == "/healthz" {
-        let ready = (!callers.ending.get() || callers.gate.shared) && callers.gate.router.is_ready();
+        let ready = (!callers.is_ending() || callers.gate.shared) && callers.gate.router.is_ready();
         return reply(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE });
     }
     let gate = &callers.gate;
--- a/crates/proxy/src/server/mod.rs
+++ b/crates/proxy/src/server/mod.rs
@@ -12,31 +12,21 @@
 use std::time::Duration;
 
 use config::Protocol;
-use decide::interface::WaysIn;
+use decide::interface::{Micros, WaysIn};
+use shutdown::{Fate, Shutdown, Terms};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::Notify;
+use tokio::sync::{watch, Notify};
 use tokio::task::spawn_local;
 use tokio::time::{timeout, Instant};
 
+use crate::clock::Clock;
 use crate::exchange::MOST_BUFFER;
 use crate::flow::STALL;
 use crate::gate::{Connection, Router};
 use crate::ids::Ids;
 use crate::log::say;
-use crate::socket::Socket;
-
-/// Accepted for at least this long after the signal to end: the front takes a while to notice.
-const STILL_ACCEPTING: Duration = Duration::from_millis(500);
-/// No kill follows the signal sooner than this and the longest time that a client waits, as far as that counts.
-const KILL: Duration = Duration::from_millis(700);
-/// No kill is waited for beyond this of the longest time that a client waits.
-const MOST_OF_WAIT: Duration = Duration::from_secs(3);
-/// Callers are served on until this much before that: most answers take less.
-const LAST_ANSWERS: Duration = Duration::from_millis(1200);
-/// And where they have nowhere else to go until this much before: the decisions refuse what is hopeless.
-const LAST_ANSWERS_ALONE: Duration = Duration::from_millis(500);
-/// A caller is expected to send its first request within this time.
-const NEW: Duration = Duration::from_millis(250);
+use crate::socket::{Socket, Unread};
+
 /// The head of a request has come whole within this time: from the start of the connection for its first
 /// request, from the head's first byte later on. Guards against callers that hold descriptors and say nothing.
 const HEAD: Duration = Duration::from_secs(3);
@@ -44,9 +34,10 @@
 const LOOK: Duration = Duration::from_millis(100);
 /// Pause before trying again to accept where that failed or there is no room: trying at once would spin.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
-
-/// When the proxy ends: connections on which nothing is asked by then, after they were told, are dropped.
-const LAST_WORDS: Duration = Duration::from_secs(1);
+/// A caller is expected to send its first request within this time.
+const NEW: Duration = Duration::from_millis(250);
+/// How often connections are looked at while the proxy closes them.
+const CLOSING_LOOK: Duration = Duration::from_millis(20);
 
 /// What requests are read by and handed to.
 pub struct Gate {
@@ -64,13 +55,12 @@
     all: RefCell<BTreeMap<u64, Rc<Caller>>>,
     /// Told when a connection has ended.
     room: Notify,
-    ending: Cell<bool>,
+    shutdown: RefCell<Shutdown>,
+    clock: Clock,
     /// Told to end, and done with waiting for further requests.
     leaving: Cell<bool>,
-    /// The longest time that a client has waited for, up to what counts.
-    wait: Cell<Duration>,
-    /// Once the proxy has been told to end: when it may be killed.
-    kill: Cell<Option<Instant>>,
+    /// The time of all that is still open is up: the kill is near.
+    time_up: watch::Sender<bool>,
 }
 
 struct Caller {
@@ -94,16 +84,21 @@
 
 /// Serves callers until `stop`, and then until all that was taken has its answer.
 pub async fn run(gate: Gate, listener: TcpListener, most: usize, stop: impl Future<Output = ()>) {
-    let wait = gate.router.longest_wait().min(MOST_OF_WAIT);
+    let terms = Terms {
+        longest_wait: gate.router.longest_wait().as_micros() as Micros,
+        is_killed: gate.router.is_killed(),
+        is_alone: gate.router.may_end_alone(),
+        is_shared: gate.shared,
+    };
     let callers = Rc::new(Callers {
         gate,
         most,
         all: RefCell::default(),
         room: Notify::new(),
-        ending: Cell::new(false),
+        shutdown: RefCell::new(Shutdown::new(terms)),
+        clock: Clock::new(),
         leaving: Cell::new(false),
-        wait: Cell::new(wait),
-        kill: Cell::default(),
+        time_up: watch::Sender::new(false),
     });
     let mut stop = pin!(stop);
     let mut accepted = 0;
@@ -112,25 +107,14 @@
         () = stop.as_mut() => {}
         () = accept(&callers, &listener, &mut accepted) => {}
     }
-    callers.ending.set(true);
-    let kill = callers.wait.get() + KILL;
-    callers.kill.set(Some(Instant::now() + kill));
-    // Guards against a time with no proxy at all: while others of the tier restart too, or die, callers can
-    // often go nowhere else. Who meets a closed port takes the proxy for dead and leaves the connections as
-    // well. Does harm where the kill comes sooner than promised: what it finds open is lost.
-    let last = if callers.gate.router.may_end_alone() { LAST_ANSWERS_ALONE } else { LAST_ANSWERS };
-    let serving = STILL_ACCEPTING.max(kill.saturating_sub(last));
+    callers.shutdown.borrow_mut().tell(callers.clock.now());
+    let serving = Duration::from_micros(callers.shutdown.borrow().serves_on() as u64);
     say(format_args!(
         "told to end: serving on for {:.1} s, on {} connections",
         serving.as_secs_f64(),
         callers.all.borrow().len()
     ));
-    if callers.gate.shared {
-        // Who comes from now on is the other process's, and who is here is sent there with the next answer.
-        drop(listener);
-        callers.all.borrow().values().for_each(|caller| caller.closing.set(true));
-        let _ = timeout(serving, callers.end()).await;
-    } else {
+    if callers.shutdown.borrow().accepts(callers.clock.now()) {
         let _ = timeout(serving, accept(&callers, &listener, &mut accepted)).await;
         // What the kernel has accepted by now is taken, too.
         let Ok(listener) = listener.into_std() else { return };
@@ -139,16 +123,11 @@
                 serve(&callers, stream, &mut accepted);
             }
         }
+    } else {
+        // Who comes from now on is the other process's, and who is here is sent there with the next answer.
+        drop(listener);
     }
-    callers.leaving.set(true);
-    let open: Vec<_> = callers.all.borrow().values().cloned().collect();
-    open.iter().for_each(|caller| caller.ask_to_close());
-    // What has been asked is answered, by the backstop at the latest; half a request is not waited for.
-    let told = Instant::now();
-    let in_use = || callers.all.borrow().values().any(|c| c.busy.get());
-    while !callers.all.borrow().is_empty() && (in_use() || told.elapsed() < LAST_WORDS) {
-        let _ = timeout(LAST_WORDS / 10, callers.room.notified()).await;
-    }
+    callers.end().await;
     looking.abort();
 }
 
@@ -156,7 +135,9 @@
 /// request stays.
 async fn look(callers: Rc<Callers>) {
     loop {
-        tokio::time::sleep(LOOK).await;
+        let due = Instant::now() + LOOK;
+        tokio::time::sleep_until(due).await;
+        callers.shutdown.borrow_mut().was_late(due.elapsed().as_micros() as Micros);
         callers.all.borrow().values().filter(|c| c.is_stuck()).for_each(|c| c.drop.notify_one());
         for caller in callers.all.borrow().values().filter(|c| !c.busy.get()) {
             // Calls come when they come; what is begun is to be ended.
@@ -193,22 +174,63 @@
 impl Callers {
     /// What is left to callers once the front has them go elsewhere; None while new connections come.
     fn ways_in(&self) -> Option<WaysIn> {
-        (self.ending.get() && !self.gate.shared).then(|| {
+        (self.is_ending() && !self.gate.shared).then(|| {
             let all = self.all.borrow();
             WaysIn { free: all.values().filter(|c| !c.busy.get()).count(), all: all.len() }
         })
     }
 
-    /// Waits until no connection is left.
+    /// Was the proxy told to end?
+    fn is_ending(&self) -> bool {
+        self.shutdown.borrow().is_told()
+    }
+
+    /// Nothing more is accepted: closes what may be closed, until all that was taken has its answer.
     async fn end(&self) {
-        while !self.all.borrow().is_empty() {
-            self.room.notified().await;
+        loop {
+            let now = self.clock.now();
+            let (is_over, is_time_up) = {
+                let shutdown = self.shutdown.borrow();
+                (shutdown.serves_until().is_some_and(|until| until <= now), shutdown.is_time_up(now))
+            };
+            self.leaving.set(is_over);
+            if is_time_up {
+                self.time_up.send_replace(true);
+            }
+            let open: Vec<_> = self.all.borrow().values().cloned().collect();
+            let busy = open.iter().filter(|c| c.busy.get()).count();
+            if self.shutdown.borrow().may_leave(now, open.len(), busy) {
+                return;
+            }
+            for caller in open {
+                match self.shutdown.borrow().fate(now, &caller.state(self.clock)) {
+                    Fate::Keep => {}
+                    Fate::AfterAnswer => caller.closing.set(true),
+                    Fate::Close if is_time_up => caller.drop.notify_one(),
+                    Fate::Close => caller.ask_to_close(),
+                }
+            }
+            let _ = timeout(CLOSING_LOOK, self.room.notified()).await;
         }
     }
 
-    /// Takes note of how long a client waits.
-    fn waits(&self, patience: Duration) {
-        self.wait.set(self.wait.get().max(patience.min(MOST_OF_WAIT)));
+    /// The time that a request may take which came then, and whose client waits for so long.
+    fn time_for(&self, received: Instant, patience: Duration) -> Duration {
+        let came = self.clock.now() - received.elapsed().as_micros() as Micros;
+        let mut shutdown = self.shutdown.borrow_mut();
+        let waits = Micros::try_from(patience.as_micros()).unwrap_or(Micros::MAX / 4);
+        shutdown.waits(waits);
+        Duration::from_micros(shutdown.time_for(came, waits) as u64)
+    }
+
+    /// Is the kill so near that nothing can come of a request any more?
+    fn is_time_up(&self) -> bool {
+        self.shutdown.borrow().is_time_up(self.clock.now())
+    }
+
+    /// Completes once the time of what is still open is up.
+    async fn time_is_up(&self) {
+        let _ = self.time_up.subscribe().wait_for(|up| *up).await;
     }
 
     fn staying(&self) -> usize {
@@ -251,6 +273,21 @@
         self.socket.next_message(MOST_BUFFER);
     }
 
+    /// What its end depends on.
+    fn state(&self, clock: Clock) -> shutdown::Connection {
+        shutdown::Connection {
+            is_busy: self.busy.get(),
+            has_asked: self.asked.get(),
+            has_begun: self.has_begun(),
+            used: clock.now() - self.used.get().elapsed().as_micros() as Micros,
+        }
+    }
+
+    /// Has a part of its next request come?
+    fn has_begun(&self) -> bool {
+        self.socket.bytes_in() > 0 || self.socket.unread() == Unread::Data
+    }
+
     fn ask_to_close(&self) {
         self.closing.set(true);
         self.close.notify_one();
--- a/crates/proxy/src/server/serving.rs
+++ b/crates/proxy/src/server/serving.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use decide::interface::*;
-use tokio::time::Instant;
+use tokio::time::{sleep_until, Instant};
 
 use super::Callers;
 use crate::exchange::Answer;
@@ -12,8 +12,6 @@
 use crate::inbox::Handle;
 use crate::request::Sound;
 
-/// What is taken after the signal has its answer this much before the kill.
-const KILL_MARGIN: Duration = Duration::from_millis(200);
 /// The decisions get this much less than the client's time, for the answer's way back.
 const ANSWER_WAY: Duration = Duration::from_millis(20);
 /// What the decisions still hold open then, this much before the client's time, fails.
@@ -23,11 +21,12 @@
 /// this tells them that its client left.
 pub async fn serve(callers: &Callers, sound: Sound, received: Instant) -> Answer {
     let Sound { mut new, message, mut course, patience, mut held, claim: _claim } = sound;
-    callers.waits(patience);
+    if callers.is_time_up() {
+        return Answer::Refused { retry_after: 0, never_ran: true };
+    }
     new.ways_in = callers.ways_in();
     // What would still be open when the kill comes gets its answer before that.
-    let left = callers.kill.get().map(|at| at.saturating_duration_since(received + KILL_MARGIN));
-    let patience = left.map_or(patience, |left| patience.min(left));
+    let patience = callers.time_for(received, patience);
     // Its time counts from when it has come whole.
     let coming = Duration::from_micros(new.coming.max(0) as u64);
     let backstop = received + coming + patience.saturating_sub(BACKSTOP);
@@ -39,10 +38,11 @@
         let handle = course.handle().clone();
         let (id, answer) = handle.request(new.clone(), Rc::clone(&message), course.begun());
         let gone = Gone(&handle, id);
-        let answer = match tokio::time::timeout_at(backstop, answer).await {
-            Ok(Ok(answer)) => answer,
-            Ok(Err(_)) => Answer::Failed,
-            Err(_) => Answer::TimedOut,
+        let answer = tokio::select! {
+            biased;
+            answer = answer => answer.unwrap_or(Answer::Failed),
+            () = sleep_until(backstop) => Answer::TimedOut,
+            () = callers.time_is_up() => Answer::TimedOut,
         };
         // Where no answer came, the request ends here, and so do its attempts.
         drop(gone);
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -786,6 +786,76 @@
     assert!(proxy.end().success());
 }
 
+/// Starts a proxy whose classes give up after a second: it may be killed 1.7 s after the word to end, and ends 0.2 s
+/// before that.
+fn soon_killed(backends: &[&Backend]) -> Proxy {
+    let mut setup = Setup::of(backends);
+    setup.deadline_ms = 1000;
+    setup.aim_ms = 1000;
+    setup.start()
+}
+/// Well after that, for a busy machine, and well before the 3.5 s of one that takes its callers' word.
+const SOON: Duration = Duration::from_millis(2700);
+
+fn ends_in_time(proxy: &mut Proxy, told: Instant) {
+    assert!(proxy.end().success());
+    assert!(told.elapsed() < SOON, "{:?}", told.elapsed());
+}
+
+#[test]
+fn what_callers_say_does_not_move_the_kill() {
+    let backend = Backend::new([ok("done"), Deed::Silence]);
+    let mut proxy = soon_killed(&[&backend]);
+    let mut caller = proxy.caller();
+    assert_eq!(caller.ask(&read("id-1", 60_000)).status(), 200);
+    let told = Instant::now();
+    proxy.terminate();
+    proxy.says("told to end: serving on for 1.2 s");
+    caller.send(&read("id-2", 60_000));
+    assert!(matches!(caller.hear().status(), 502..=504));
+    ends_in_time(&mut proxy, told);
+}
+
+#[test]
+fn what_was_in_hand_when_the_word_came_is_answered_before_the_kill() {
+    let backend = Backend::new([Deed::Silence]);
+    let mut setup = Setup::of(&[&backend]);
+    setup.aim_ms = 20_000;
+    // Its class gives up long after the kill.
+    setup.deadline_ms = 20_000;
+    let mut proxy = setup.start();
+    let mut caller = proxy.caller();
+    caller.send(&write("id-1", 20_000, "x"));
+    backend.request();
+    let told = Instant::now();
+    proxy.terminate();
+    assert_eq!(caller.hear().status(), 504);
+    assert!(proxy.end().success());
+    assert!(told.elapsed() < Duration::from_secs(10), "{:?}", told.elapsed());
+}
+
+#[test]
+fn a_request_that_is_half_there_when_nothing_more_is_taken_is_answered_once_it_is_whole() {
+    let backend = Backend::new([ok("done")]);
+    let mut proxy = soon_killed(&[&backend]);
+    let mut caller = proxy.caller();
+    assert_eq!(caller.ask(&read("id-1", 900)).status(), 200);
+    let mut other = proxy.caller();
+    assert_eq!(other.ask(&read("id-2", 900)).status(), 200);
+    let told = Instant::now();
+    proxy.terminate();
+    proxy.says("told to end");
+    let request = read("id-3", 900);
+    let (first, rest) = request.split_at(40);
+    caller.send(first);
+    // Who is idle is sent away first.
+    assert!(other.is_closed());
+    caller.send(rest);
+    let answer = caller.hear();
+    assert_eq!((answer.status(), answer.header("Connection")), (200, Some("close")));
+    ends_in_time(&mut proxy, told);
+}
+
 #[test]
 fn half_a_request_does_not_keep_a_proxy_from_ending() {
     let backend = Backend::new([ok("done")]);
--- a/tests/stubs/mod.rs
+++ b/tests/stubs/mod.rs
@@ -18,6 +18,8 @@
     pub sockets: u32,
     pub keepalive_ms: u32,
     pub aim_ms: u32,
+    /// Of each class.
+    pub deadline_ms: u32,
     /// Proxies of the tier, where `peers` does not name them.
     pub balancers: usize,
     /// The most descriptors that the kernel lets the process have; None leaves that as it is.
@@ -34,6 +36,7 @@
             sockets: 1024,
             keepalive_ms: 60_000,
             aim_ms: 10_000,
+            deadline_ms: 20_000,
             balancers: 1,
             descriptors: None,
             peers: None,
@@ -43,8 +46,8 @@
     pub fn config(&self, discovery: SocketAddr) -> String {
         let class = |name: &str, semantics: &str| {
             format!(
-                r#"{{"name":"{name}","promise_ms":{},"deadline_ms":20000,"semantics":"{semantics}","gain":1,"group":"all","dedup_window_ms":60000}}"#,
-                self.aim_ms
+                r#"{{"name":"{name}","promise_ms":{},"deadline_ms":{},"semantics":"{semantics}","gain":1,"group":"all","dedup_window_ms":60000}}"#,
+                self.aim_ms, self.deadline_ms
             )
         };
         let (balancers, peers) = match &self.peers {
