--- a/crates/config/src/fleet.rs
+++ b/crates/config/src/fleet.rs
@@ -1,8 +1,10 @@
 //! The nodes of pools: as the configuration lists them, and as a list in discovery's form tells them.
 
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 use serde::Deserialize;
+use serde_json::value::RawValue;
 
 use crate::fault::{Faults, Text};
 use crate::model::{Config, Source};
@@ -131,6 +133,68 @@
     serde_json::from_str(json).map_err(|e| e.to_string())
 }
 
+/// A list as discovery tells it, entry by entry: one that cannot be read costs that node, and not the list.
+#[derive(Debug)]
+pub struct Told {
+    /// What could be read. A node that was told of twice counts as it was told last.
+    pub list: HostList,
+    /// Nodes of which something was told that cannot be read. Nobody knows whether that was a drain.
+    pub unreadable: BTreeSet<String>,
+    /// What is wrong with it, in a line, if anything is.
+    pub fault: Option<String>,
+}
+
+#[derive(Deserialize)]
+struct RawList<'a> {
+    seq: u64,
+    whole: bool,
+    #[serde(borrow)]
+    hosts: Vec<&'a RawValue>,
+}
+
+#[derive(Deserialize)]
+struct NameOnly {
+    host: String,
+}
+
+/// Reads a list as discovery tells it.
+///
+/// # Errors
+/// It is no list.
+pub fn parse_told(json: &[u8]) -> Result<Told, String> {
+    let raw: RawList<'_> = serde_json::from_slice(json).map_err(|e| e.to_string())?;
+    let mut unreadable = BTreeSet::new();
+    let (mut fault, mut more) = (None, 0);
+    let mut wrong = |what: String| match fault {
+        None => fault = Some(what),
+        Some(_) => more += 1,
+    };
+    let mut places = BTreeMap::new();
+    let mut hosts: Vec<Host> = Vec::with_capacity(raw.hosts.len());
+    for entry in raw.hosts {
+        let read = serde_json::from_str(entry.get()).map_err(|e| e.to_string());
+        match read.and_then(|h: Host| if h.host.is_empty() { Err("no name".to_owned()) } else { Ok(h) }) {
+            Ok(host) => match places.insert(host.host.clone(), hosts.len()) {
+                None => hosts.push(host),
+                Some(place) => {
+                    wrong(format!("{:?} stands in it twice", host.host));
+                    places.insert(host.host.clone(), place);
+                    hosts[place] = host;
+                }
+            },
+            Err(fault) => {
+                let name = serde_json::from_str(entry.get()).ok().map(|n: NameOnly| n.host);
+                wrong(format!("{:?}: {fault}", name.as_deref().unwrap_or_default()));
+                unreadable.extend(name.filter(|name| !name.is_empty()));
+            }
+        }
+    }
+    // What was told readably of the same node does not outweigh what was not.
+    hosts.retain(|host| !unreadable.contains(&host.host));
+    let fault = fault.map(|first| if more == 0 { first } else { format!("{first}, and {more} more") });
+    Ok(Told { list: HostList { seq: raw.seq, whole: raw.whole, hosts }, unreadable, fault })
+}
+
 impl HostList {
     /// The nodes of a whole list.
     ///
@@ -164,3 +228,59 @@
         Ok(nodes)
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn entry(host: &str, health: &str) -> String {
+        format!(
+            r#"{{"host":"{host}","dial":"10.0.0.1:80","site":"a","class":"m","block":1,"health":"{health}"}}"#
+        )
+    }
+
+    fn told(entries: &[String]) -> Told {
+        let json = format!("{{\"seq\": 7,\n \"whole\": true, \"hosts\": [\n{}]}}", entries.join(",\n"));
+        parse_told(json.as_bytes()).expect("a list")
+    }
+
+    #[test]
+    fn a_malformed_entry_costs_that_node_and_not_the_list() {
+        let told = told(&[
+            entry("a", "SERVING"),
+            entry("b", "SLEEPING"),
+            entry("", "SERVING"),
+            entry("c", "SERVING").replace("10.0.0.1:80", "nowhere"),
+            "7".to_owned(),
+            entry("a", "DRAINING"),
+            entry("b", "SERVING"),
+        ]);
+        let names: Vec<_> = told.list.hosts.iter().map(|h| (h.host.as_str(), h.health)).collect();
+        assert!(matches!(names[..], [("a", Health::Draining)]), "{names:?}");
+        assert_eq!(told.unreadable, ["b", "c"].map(str::to_owned).into());
+        let fault = told.fault.expect("told of");
+        assert!(fault.starts_with("\"b\": ") && fault.ends_with(", and 4 more"), "{fault}");
+    }
+
+    #[test]
+    fn what_is_no_list_is_none() {
+        for bad in [
+            "",
+            "[]",
+            "7",
+            "{\"seq\":1}",
+            "{\"seq\":1,\"whole\":7,\"hosts\":[]}",
+            "{\"seq\":1,\"whole\":true,\"hosts\":[",
+        ] {
+            assert!(parse_told(bad.as_bytes()).is_err(), "{bad}");
+        }
+        assert!(parse_told(b"\xff\xfe").is_err());
+    }
+
+    #[test]
+    fn a_list_full_of_rubbish_takes_no_more_than_itself() {
+        let told = told(&vec!["0".to_owned(); 200_000]);
+        assert!(told.list.hosts.is_empty() && told.unreadable.is_empty());
+        assert!(told.fault.is_some_and(|fault| fault.len() < 200));
+    }
+}
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -18,7 +18,7 @@
 
 pub use announce::{Bgp, BgpPeer, MOST_OPERATORS};
 pub use fault::{Fault, Faults};
-pub use fleet::{parse_list, Fleet, Health, Host, HostList, Node, NodeState};
+pub use fleet::{parse_list, parse_told, Fleet, Health, Host, HostList, Node, NodeState, Told};
 pub use hosted::{Document, Refused, Role, Setup, Shared, Tenant, TenantDoc, TenantLimits, Tenants, Token};
 pub use method::{escape, Member, Members, Method, Methods, Protocol, Template, Verb};
 pub use model::{sockets_cut, Class, Config, Knowledge, Limits, Listener, Pool, Source};
--- a/crates/decide/src/settings.rs
+++ b/crates/decide/src/settings.rs
@@ -168,13 +168,8 @@
     let c: Config = serde_json::from_str(json).map_err(|e| format!("bad settings: {e}"))?;
     let mut zones = c.zones;
     let classes = c.request_classes.iter().map(|k| {
-        Ok(Class {
-            aim: micros(k.promise_ms),
-            deadline: micros(k.deadline_ms),
-            gain: k.gain,
-            late_value: k.late_value,
-            semantics: semantics(k)?,
-        })
+        let (aim, deadline) = times(k)?;
+        Ok(Class { aim, deadline, gain: k.gain, late_value: k.late_value, semantics: semantics(k)? })
     });
     let settings = Settings {
         balancers: c.balancers,
@@ -218,6 +213,19 @@
     })
 }
 
+/// A class's aim and deadline. Where one of them is left out it is the other.
+fn times(class: &ClassConfig) -> Result<(Micros, Micros), String> {
+    let time = |ms: f64| micros(ms).min(TIME_LIMIT);
+    match (time(class.promise_ms), time(class.deadline_ms)) {
+        (..=0, ..=0) => {
+            Err(format!("request_classes: {:?} has neither promise_ms nor deadline_ms", class.name))
+        }
+        (aim, ..=0) => Ok((aim, aim)),
+        (..=0, deadline) => Ok((deadline, deadline)),
+        both => Ok(both),
+    }
+}
+
 fn semantics(class: &ClassConfig) -> Result<Semantics, String> {
     Ok(match class.semantics.as_str() {
         "idempotent" => Semantics::Idempotent,
--- a/crates/proxy/src/membership/discovery.rs
+++ b/crates/proxy/src/membership/discovery.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use config::HostList;
+use config::Told as ToldList;
 use decide::interface::*;
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::body::Incoming;
@@ -56,7 +56,7 @@
 /// What a call tells while it is out.
 enum Told {
     Heard,
-    Answered(HostList, Connection),
+    Answered(ToldList, Connection),
     Malformed(String),
     Broke,
     Failed,
@@ -112,10 +112,10 @@
 impl Discovery {
     /// Hands over the list as last known, then watches whenever that is asked for. That a watch has ended is told; asking
     /// again is up to the decisions.
-    pub async fn run(mut self, known: Option<HostList>) {
+    pub async fn run(mut self, known: Option<ToldList>) {
         let listed = known.is_some();
         if let Some(list) = known {
-            self.roster.apply(list, ListScope::Cached);
+            self.roster.hear(list, ListScope::Cached);
         } else {
             self.roster.handle.backends(ListScope::Cached, Vec::new());
         }
@@ -175,11 +175,11 @@
         }
         Some(match told {
             Told::Heard => Event::Heard(id),
-            Told::Answered(list, connection) => {
+            Told::Answered(told, connection) => {
                 calls.spare = Some(connection);
-                let news = list.whole || !list.hosts.is_empty();
-                let scope = if list.whole { ListScope::Full } else { ListScope::Delta };
-                self.roster.apply(list, scope);
+                let news = told.list.whole || !told.list.hosts.is_empty();
+                let scope = if told.list.whole { ListScope::Full } else { ListScope::Delta };
+                self.roster.hear(told, scope);
                 Event::Answered(id, news)
             }
             Told::Malformed(fault) => {
@@ -248,8 +248,8 @@
 
 async fn read(response: Response<Incoming>, connection: Connection) -> Told {
     let Ok(body) = Limited::new(response.into_body(), MOST_LIST).collect().await else { return Told::Broke };
-    match serde_json::from_slice(&body.to_bytes()) {
-        Ok(list) => Told::Answered(list, connection),
-        Err(fault) => Told::Malformed(fault.to_string()),
+    match config::parse_told(&body.to_bytes()) {
+        Ok(told) => Told::Answered(told, connection),
+        Err(fault) => Told::Malformed(fault),
     }
 }
--- a/crates/proxy/src/membership/roster.rs
+++ b/crates/proxy/src/membership/roster.rs
@@ -6,7 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use config::{Health, Host, HostList};
+use config::{Health, Host, HostList, Told as ToldList};
 use decide::interface::*;
 use decide::learned::Learned;
 use decide::settings::Names;
@@ -16,6 +16,7 @@
 use crate::clock::Clock;
 use crate::figures::{Labels, PoolNow};
 use crate::inbox::Handle;
+use crate::log::say;
 use crate::maintenance::Bans;
 use crate::memory::figures::{self, Called};
 use crate::memory::Told;
@@ -94,6 +95,8 @@
     pub known: Rc<Known>,
     /// What operators say of nodes, where they are asked.
     pub bans: Option<Bans>,
+    /// A malformed entry has been told of.
+    complained: bool,
 }
 
 /// What is known of a pool's nodes beside the list.
@@ -162,11 +165,35 @@
         ready: Rc<Cell<bool>>,
     ) -> Roster {
         let heard = Rc::new(Cell::new(Instant::now()));
-        Roster { clock, names, handle, backends, ready, heard, seq: None, known: Rc::default(), bans: None }
+        Roster {
+            clock,
+            names,
+            handle,
+            backends,
+            ready,
+            heard,
+            seq: None,
+            known: Rc::default(),
+            bans: None,
+            complained: false,
+        }
+    }
+
+    /// Takes in what discovery told, as far as it can be read. What is listed in words that cannot be may drain, so it
+    /// gets nothing new.
+    pub fn hear(&mut self, told: ToldList, scope: ListScope) {
+        if let Some(fault) = told.fault.filter(|_| !std::mem::replace(&mut self.complained, true)) {
+            say(format_args!("passing over a malformed entry in the list of backends: {fault}"));
+        }
+        self.take(told.list, &told.unreadable, scope);
     }
 
     /// Takes a list in, before anything else is sent.
     pub fn apply(&mut self, list: HostList, scope: ListScope) {
+        self.take(list, &BTreeSet::new(), scope);
+    }
+
+    fn take(&mut self, list: HostList, unreadable: &BTreeSet<String>, scope: ListScope) {
         self.seq = Some(list.seq);
         self.heard.set(Instant::now());
         let mut entries = Vec::with_capacity(list.hosts.len());
@@ -180,6 +207,15 @@
             self.backends.update(&entry, dial);
             entries.push(entry);
         }
+        for name in unreadable {
+            let last =
+                self.known.ids.borrow().get(name).filter(|n| n.gone.is_none()).and_then(|n| n.last.clone());
+            if let Some((mut entry, dial)) = last {
+                entry.stage = Stage::Draining;
+                self.backends.update(&entry, dial);
+                entries.push(entry);
+            }
+        }
         if scope != ListScope::Delta {
             let listed: BTreeSet<BackendId> = entries.iter().map(|e| e.id).collect();
             self.backends.retain(|id| listed.contains(&id));
--- a/crates/proxy/src/platform.rs
+++ b/crates/proxy/src/platform.rs
@@ -1,13 +1,14 @@
 //! The platform's mode: one pool, told by the JSON file that `LB_CONFIG` names.
 
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeSet;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::pin::Pin;
 use std::rc::Rc;
 
-use config::{sockets_cut, HostList};
+use config::{parse_told, sockets_cut, Told};
 use decide::interface::Micros;
 use decide::settings::{self, Site};
 use members::{Hold, Policy, Refused};
@@ -46,7 +47,7 @@
     pub callers: usize,
     /// Sockets for backends.
     pub backends: usize,
-    pub known: Option<HostList>,
+    pub known: Option<Told>,
     /// Where peers' messages arrive, and the peers' addresses by rank; only where the settings allow them.
     pub peers: Option<(SocketAddr, Vec<SocketAddr>)>,
     pub site: Site,
@@ -60,7 +61,8 @@
     seed: String,
     #[serde(default)]
     limits: Limits,
-    known: Option<HostList>,
+    #[serde(borrow)]
+    known: Option<&'a RawValue>,
     peer_listen: Option<SocketAddr>,
     #[serde(default)]
     peers: Vec<SocketAddr>,
@@ -117,6 +119,13 @@
         let (callers, backends) = sockets_cut(file.limits.sockets.saturating_sub(own))
             .ok_or_else(|| format!("limits.sockets: too few to serve with: {}", file.limits.sockets))?;
         let site = settings::parse(file.settings.get())?;
+        // Who sent a message is told by its address.
+        let mut addresses = BTreeSet::new();
+        if let Some(twice) =
+            file.peers.iter().find(|peer| !addresses.insert(**peer)).filter(|_| site.settings.peers)
+        {
+            return Err(format!("peers: {twice} stands in it twice"));
+        }
         Ok(Config {
             listen: file.listen,
             discovery: file.discovery,
@@ -125,7 +134,11 @@
                 .map_err(|_| format!("seed: not a 64-bit number in hex digits: {:?}", file.seed))?,
             callers,
             backends,
-            known: file.known,
+            known: file
+                .known
+                .map(|known| parse_told(known.get().as_bytes()))
+                .transpose()
+                .map_err(|e| format!("known: {e}"))?,
             peers: file.peer_listen.filter(|_| site.settings.peers).map(|listen| (listen, file.peers)),
             site,
         })
