--- a/crates/proxy/src/membership/roster.rs
+++ b/crates/proxy/src/membership/roster.rs
@@ -103,6 +103,8 @@
 #[derive(Default)]
 pub struct Known {
     ids: RefCell<BTreeMap<String, Named>>,
+    /// The ids that these have.
+    taken: RefCell<BTreeSet<BackendId>>,
     /// What is to be learned once there is a list.
     told: RefCell<Option<Told>>,
     /// Lists taken in.
@@ -224,7 +226,12 @@
             }
         }
         // Guards against growth: hosts that are replaced come under ever new names.
-        self.known.ids.borrow_mut().retain(|_, named| named.gone.is_none_or(|at| at.elapsed() < NAME_KEPT));
+        let mut taken = self.known.taken.borrow_mut();
+        self.known.ids.borrow_mut().retain(|_, named| {
+            let stays = named.gone.is_none_or(|at| at.elapsed() < NAME_KEPT);
+            stays || !taken.remove(&named.id)
+        });
+        drop(taken);
         self.handle.backends(scope, entries);
         self.ready.set(true);
         self.known.lists.set(self.known.lists.get() + 1);
@@ -260,11 +267,12 @@
             return named.id;
         }
         // FNV-1a; a hash that is taken moves on to the next.
-        let mut id = host.bytes().fold(0x811c_9dc5_u32, |h, b| (h ^ u32::from(b)).wrapping_mul(0x0100_0193));
-        while ids.values().any(|taken| taken.id.0 == id) {
-            id = id.wrapping_add(1);
+        let hash = host.bytes().fold(0x811c_9dc5_u32, |h, b| (h ^ u32::from(b)).wrapping_mul(0x0100_0193));
+        let mut id = BackendId(hash);
+        let mut taken = self.known.taken.borrow_mut();
+        while !taken.insert(id) {
+            id = BackendId(id.0.wrapping_add(1));
         }
-        let id = BackendId(id);
         ids.insert(host, Named { id, gone, last: None });
         id
     }
