Test: a JSON-RPC batch in hand when the word to end comes is answered whole

Need: every front ends alike; of JSON-RPC only single calls were played over an end. A batch of three, one of which hangs, has one answer with all three, then the notice that nothing more is taken, then the end.

--- a/tests/jsonrpc.rs
+++ b/tests/jsonrpc.rs
@@ -392,6 +392,33 @@
     assert!(proxy.process.end().success());
 }
 
+#[test]
+fn a_batch_in_hand_when_the_word_to_end_comes_is_answered_whole() {
+    let node = RpcNode::of(Frames::Lines, |call| match call["params"]["do"].as_str() {
+        Some("hang") => Reply::Silence,
+        _ => Reply::Echo,
+    });
+    let mut proxy = Both::start(&Site { aim_ms: 1500, ..Site::rpc(&[node.address]) });
+    let mut caller = proxy.rpc();
+    let calls = [json!({}), json!({ "do": "hang" }), json!({})];
+    let calls: Vec<_> =
+        calls.into_iter().enumerate().map(|(n, params)| request(n as i64, "standings", params)).collect();
+    caller.send(&format!("[{}]", calls.join(",")));
+    (0..3).for_each(|_| drop(node.request()));
+    proxy.process.terminate();
+    proxy.process.says("told to end");
+    let answers = caller.hear();
+    let answers = answers.as_array().expect("one answer to the batch");
+    assert_eq!(answers.len(), 3, "{answers:?}");
+    for (n, answer) in answers.iter().enumerate() {
+        assert_eq!((&answer["id"], answer.get("result").is_some()), (&json!(n), n != 1), "{answer}");
+    }
+    let notice = caller.hear();
+    assert_eq!((&notice["method"], &notice["params"]["taken"]), (&json!("$/closing"), &json!(1)));
+    assert!(caller.try_hear().is_none());
+    assert!(proxy.process.end().success());
+}
+
 // ---- Two protocols ----
 
 #[test]
