Read again: whether a connection is new is asked in one place; two plainer branches

Need: server/mod.rs kept a figure and a check of its own for connections that have just come, beside the one in crates/shutdown; Shutdown::fate said the same of busy and idle connections twice; parse_told put a doubled name in twice. No behaviour changes. Tests: shutdown, config, proxy (46), flow, scale, jsonrpc, upgrades green.

--- a/crates/config/src/fleet.rs
+++ b/crates/config/src/fleet.rs
@@ -1,5 +1,6 @@
 //! The nodes of pools: as the configuration lists them, and as a list in discovery's form tells them.
 
+use std::collections::btree_map::Entry;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
@@ -174,12 +175,14 @@
     for entry in raw.hosts {
         let read = serde_json::from_str(entry.get()).map_err(|e| e.to_string());
         match read.and_then(|h: Host| if h.host.is_empty() { Err("no name".to_owned()) } else { Ok(h) }) {
-            Ok(host) => match places.insert(host.host.clone(), hosts.len()) {
-                None => hosts.push(host),
-                Some(place) => {
+            Ok(host) => match places.entry(host.host.clone()) {
+                Entry::Vacant(place) => {
+                    place.insert(hosts.len());
+                    hosts.push(host);
+                }
+                Entry::Occupied(place) => {
                     wrong(format!("{:?} stands in it twice", host.host));
-                    places.insert(host.host.clone(), place);
-                    hosts[place] = host;
+                    hosts[*place.get()] = host;
                 }
             },
             Err(fault) => {
--- a/crates/proxy/src/server/mod.rs
+++ b/crates/proxy/src/server/mod.rs
@@ -34,8 +34,6 @@
 const LOOK: Duration = Duration::from_millis(100);
 /// Pause before trying again to accept where that failed or there is no room: trying at once would spin.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
-/// A caller is expected to send its first request within this time.
-const NEW: Duration = Duration::from_millis(250);
 /// How often connections are looked at while the proxy closes them.
 const CLOSING_LOOK: Duration = Duration::from_millis(20);
 
@@ -244,7 +242,8 @@
     fn close_one(&self) {
         let all = self.all.borrow();
         let staying = all.values().filter(|c| !c.closing.get());
-        let known = staying.filter(|c| c.busy.get() || c.asked.get() || c.used.get().elapsed() > NEW);
+        let now = self.clock.now();
+        let known = staying.filter(|c| c.busy.get() || !c.state(self.clock, false).is_new(now));
         if let Some(caller) = known.min_by_key(|c| (c.busy.get(), c.used.get())) {
             caller.ask_to_close();
         }
--- a/crates/shutdown/src/lib.rs
+++ b/crates/shutdown/src/lib.rs
@@ -66,6 +66,14 @@
     pub used: Micros,
 }
 
+impl Connection {
+    /// Has it just come, so that its first request is on its way?
+    #[must_use]
+    pub fn is_new(&self, now: Micros) -> bool {
+        !self.has_asked && now < self.used + NEW
+    }
+}
+
 /// What becomes of a connection now.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Fate {
@@ -179,18 +187,14 @@
     #[must_use]
     pub fn fate(&self, now: Micros, connection: &Connection) -> Fate {
         let (Some(until), Some(by)) = (self.serves_until(), self.answers_by()) else { return Fate::Keep };
-        let Connection { is_busy, has_asked, has_begun, used } = *connection;
-        if is_busy {
-            // With a successor at the same address callers go there as soon as they can.
-            return if now >= until || self.terms.is_shared { Fate::AfterAnswer } else { Fate::Keep };
-        }
         if now < until {
+            // With a successor at the same address callers go there as soon as they can.
             return if self.terms.is_shared { Fate::AfterAnswer } else { Fate::Keep };
         }
         // Guards against a connection that is closed unheard: its first request is on its way, and half a request is
         // one that was taken a moment later.
-        let comes = has_begun || (!has_asked && now < used + NEW);
-        if comes && now < by {
+        let comes = connection.has_begun || connection.is_new(now);
+        if connection.is_busy || (comes && now < by) {
             Fate::AfterAnswer
         } else {
             Fate::Close
