Nothing is begun for a client that has left; what came by a close is answered

Need: no attempt begins 0.1 s after its client has gone; a request that arrives in the instant of a close is owed its answer. At fault: hyper alone noticed ends; exchange and call looked at the drain and not the client before a write; look and end closed what was idle a moment before. Change: a request carries its client, asked before connecting, before writing and after an attempt; ends behind unread bytes are looked for each 100 ms; closes look last thing at the kernel; what was called off before it was handed over never ran.

--- a/crates/proxy/src/backend/mod.rs
+++ b/crates/proxy/src/backend/mod.rs
@@ -26,7 +26,7 @@
 use tokio::time::{sleep_until, timeout_at, Instant};
 
 use self::link::{is_over, End, RpcLink};
-use crate::exchange::{remove_hop_by_hop, Ended, Message, MOST_BODY, MOST_BUFFER, TIMEOUT};
+use crate::exchange::{remove_hop_by_hop, Client, Ended, Message, MOST_BODY, MOST_BUFFER, TIMEOUT};
 use crate::flow::{self, Content, Cut, Flow, Gathered, MayFlow};
 use crate::log::say;
 use crate::mapping;
@@ -53,9 +53,13 @@
 pub struct Order {
     pub backend: BackendId,
     pub message: Rc<Message>,
+    /// Whom it is for.
+    pub client: Client,
     pub until: Instant,
     /// How long the caller waits once its request has come whole, where that flows.
     pub patience: Option<Duration>,
+    /// It has been handed over for writing, so that a byte of it may have gone.
+    pub begun: Rc<Cell<bool>>,
 }
 
 pub struct Backends {
@@ -392,7 +396,6 @@
             let late = if progress.get() == 0 { Outcome::Moot } else { Outcome::Timeout };
             return (ended.unwrap_or_else(|_| late.into()), None);
         }
-        let written = Cell::new(false);
         let flow = order.message.body().flow();
         let late = async {
             match (flow, order.patience) {
@@ -402,13 +405,13 @@
             }
         };
         let result = tokio::select! {
-            result = timeout_at(order.until, self.exchange(order, &written)) => result.ok(),
+            result = timeout_at(order.until, self.exchange(order)) => result.ok(),
             () = late => None,
         };
         match result {
             Some(result) => result,
             // Nothing was sent, so nothing ran: the time went in connecting.
-            None if !written.get() => (Outcome::Moot.into(), None),
+            None if !order.begun.get() => (Outcome::Moot.into(), None),
             // A backend begins once it has the last byte.
             None if flow.is_some_and(|f| f.ended().is_none()) => (Outcome::Moot.into(), None),
             None => (Outcome::Timeout.into(), None),
@@ -424,10 +427,10 @@
         }
     }
 
-    async fn exchange(self: &Rc<Self>, order: &Order, written: &Cell<bool>) -> (Ended, Option<Link>) {
+    async fn exchange(self: &Rc<Self>, order: &Order) -> (Ended, Option<Link>) {
         loop {
             // A connection costs the backend work.
-            if self.is_held() {
+            if self.is_held() || order.client.has_left() {
                 return (Outcome::Moot.into(), None);
             }
             let idle = self.idle(order.backend);
@@ -441,13 +444,13 @@
             };
             // Connecting took time: look again before anything is written.
             let left = order.until.saturating_duration_since(Instant::now());
-            if left.is_zero() || !self.may_write(order.backend) {
+            if left.is_zero() || order.client.has_left() || !self.may_write(order.backend) {
                 return (Outcome::Moot.into(), Some(link));
             }
             let mut message = (*order.message).clone();
             let left = HeaderValue::from(left.as_millis().max(1) as u64);
             message.headers_mut().insert(TIMEOUT, left);
-            written.set(true);
+            order.begun.set(true);
             let before = link.socket.written();
             match order.message.body().flow() {
                 None => link.socket.counted().at_next_write(&self.tries),
@@ -470,7 +473,7 @@
                         return (Outcome::Reset.into(), None);
                     }
                     // An idle connection had just closed, and the next may serve.
-                    written.set(false);
+                    order.begun.set(false);
                     if fresh {
                         return (Outcome::ConnectFailed.into(), None);
                     }
@@ -492,10 +495,11 @@
             };
             // Connecting took time: look again before anything is written.
             let left = order.until.saturating_duration_since(Instant::now());
-            if left.is_zero() || !self.may_write(order.backend) {
+            if left.is_zero() || order.client.has_left() || !self.may_write(order.backend) {
                 return Outcome::Moot.into();
             }
             let left = left.as_millis().max(1) as u64;
+            order.begun.set(true);
             let sent = link.send(Rc::clone(progress), |id| mapping::call_of(&order.message, &body, id, left));
             drop(link);
             let end = sent.end().await;
@@ -514,6 +518,7 @@
                 // One that was open had just closed, and the next may serve.
                 End::Never if !fresh => {
                     progress.set(0);
+                    order.begun.set(false);
                     continue;
                 }
                 End::Never => Outcome::ConnectFailed.into(),
--- a/crates/proxy/src/driver.rs
+++ b/crates/proxy/src/driver.rs
@@ -3,6 +3,7 @@
 //! I/O tasks tell it what they saw through a [`Handle`]; it takes these inputs one at a time and in order,
 //! so events never nest and nothing here needs a lock.
 
+use std::cell::Cell;
 use std::collections::{BTreeMap, VecDeque};
 use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::rc::Rc;
@@ -14,7 +15,7 @@
 
 use crate::backend::{Backends, Order};
 use crate::clock::Clock;
-use crate::exchange::{Answer, Attempts, Ended, Message, Patience};
+use crate::exchange::{Answer, Attempts, Client, Ended, Message, Patience};
 use crate::inbox::{Handle, Input};
 use crate::log::say;
 use crate::peers::Peers;
@@ -22,6 +23,7 @@
 /// A request that is owed an answer.
 struct Open {
     message: Rc<Message>,
+    client: Client,
     answer: oneshot::Sender<Answer>,
     begun: Attempts,
     attempts: Vec<Attempt>,
@@ -36,6 +38,19 @@
     sent: Micros,
     /// While it runs.
     task: Option<AbortHandle>,
+    /// A byte of it may have been written.
+    begun: Rc<Cell<bool>>,
+}
+
+impl Attempt {
+    /// What it comes to when it is called off.
+    fn called_off(&self) -> Outcome {
+        if self.begun.get() {
+            Outcome::Cancelled
+        } else {
+            Outcome::Moot
+        }
+    }
 }
 
 pub struct Driver {
@@ -118,9 +133,10 @@
     fn take(&mut self, input: Input) {
         match input {
             Input::Backends(scope, entries) => self.decide(Event::Backends { scope, entries: &entries }),
-            Input::Request(new, message, begun, answer) => {
+            Input::Request(new, message, client, begun, answer) => {
                 let attempts = Vec::new();
-                let open = Open { message, answer, begun, attempts, timed_out: false, may_have_run: false };
+                let open =
+                    Open { message, client, answer, begun, attempts, timed_out: false, may_have_run: false };
                 if let Some(flow) = open.message.body().flow() {
                     let (handle, id) = (self.handle(), new.id);
                     flow.at_end(move || handle.tell(Input::Came(id)));
@@ -130,15 +146,8 @@
             }
             Input::Came(id) => self.decide(Event::Came(id)),
             Input::Ended(id, nth, ended) => self.ended(id, nth, ended),
-            Input::Dropped(id, nth, backend, sent) => {
-                self.outcome(id, nth, (backend, sent), Outcome::Cancelled, true, None);
-            }
-            Input::ClientGone(id) => {
-                if let Some(open) = self.open.remove(&id) {
-                    self.decide(Event::ClientGone(id));
-                    self.drop_attempts(id, open.attempts);
-                }
-            }
+            Input::Dropped(id, nth, made, outcome) => self.outcome(id, nth, made, outcome, true, None),
+            Input::ClientGone(id) => self.client_gone(id),
             // A timer of a balancer that has gone would set off a second round of them in the new one.
             Input::Timer(seed, token) if seed == self.seed => self.decide(Event::Timer(token)),
             Input::Timer(..) => {}
@@ -158,6 +167,13 @@
         }
     }
 
+    fn client_gone(&mut self, id: RequestId) {
+        if let Some(open) = self.open.remove(&id) {
+            self.decide(Event::ClientGone(id));
+            self.drop_attempts(id, open.attempts);
+        }
+    }
+
     /// An attempt has its outcome; one that was called off has had it already.
     fn ended(&mut self, id: RequestId, nth: usize, ended: Ended) {
         let Some(open) = self.open.get_mut(&id) else { return };
@@ -166,6 +182,10 @@
         let (backend, sent) = (attempt.backend, attempt.sent);
         open.timed_out = ended.outcome == Outcome::Timeout;
         open.may_have_run |= !ended.outcome.never_ran();
+        if ended.answer.is_none() && open.client.has_left() {
+            // Its end is not heard of yet. Nothing further is to be begun for it.
+            self.client_gone(id);
+        }
         let is_final = ended.answer.is_some();
         if let Some((headers, body)) = ended.answer {
             self.answer(id, Answer::Served(headers, body));
@@ -210,10 +230,11 @@
                 self.answer(id, if late { Answer::TimedOut } else { Answer::Failed });
             }
             Action::Cancel { request, attempt } => {
-                let running = self.open.get(&request).and_then(|o| o.attempts.get(attempt)?.task.as_ref());
-                if let Some(task) = running {
+                let made = self.open.get(&request).and_then(|o| o.attempts.get(attempt));
+                if let Some((made, task)) = made.and_then(|made| Some((made, made.task.as_ref()?))) {
                     task.abort();
-                    self.following.push_back(Input::Ended(request, attempt, Outcome::Cancelled.into()));
+                    let called_off = made.called_off();
+                    self.following.push_back(Input::Ended(request, attempt, called_off.into()));
                 }
             }
             Action::Timer { at, token } => {
@@ -247,7 +268,15 @@
         let mut ending = Ending { handle: self.handle.clone(), request, attempt, said: false };
         let patience = open.message.extensions().get::<Patience>().map(|p| p.0);
         let until = self.clock.instant(until);
-        let order = Order { backend, message: open.message.clone(), until, patience };
+        let begun = Rc::<Cell<bool>>::default();
+        let order = Order {
+            backend,
+            message: open.message.clone(),
+            client: open.client.clone(),
+            until,
+            patience,
+            begun: Rc::clone(&begun),
+        };
         let backends = self.backends.clone();
         let task = spawn_local(async move {
             let (ended, link) = backends.attempt(&order).await;
@@ -255,7 +284,7 @@
             backends.reuse(backend, link).await;
         });
         let sent = self.clock.now();
-        open.attempts.push(Attempt { backend, sent, task: Some(task.abort_handle()) });
+        open.attempts.push(Attempt { backend, sent, task: Some(task.abort_handle()), begun });
     }
 
     /// Gives a request its final answer; nothing more is sent for it.
@@ -269,9 +298,10 @@
     /// Calls off the attempts of a request that is over. The decisions still get an outcome for each.
     fn drop_attempts(&mut self, id: RequestId, attempts: Vec<Attempt>) {
         for (nth, attempt) in attempts.into_iter().enumerate() {
-            if let Some(task) = attempt.task {
+            if let Some(task) = &attempt.task {
                 task.abort();
-                self.following.push_back(Input::Dropped(id, nth, attempt.backend, attempt.sent));
+                let made = (attempt.backend, attempt.sent);
+                self.following.push_back(Input::Dropped(id, nth, made, attempt.called_off()));
             }
         }
     }
@@ -332,6 +362,7 @@
             let (answer, receiver) = oneshot::channel();
             let open = Open {
                 message: Rc::default(),
+                client: Client::default(),
                 answer,
                 begun: Attempts::default(),
                 attempts: Vec::new(),
--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -42,6 +42,22 @@
     pub by_http: bool,
 }
 
+/// Whoever waits for the answer to a request, as far as its connection tells.
+#[derive(Clone, Default)]
+pub struct Client(Option<Rc<dyn Fn() -> bool>>);
+
+impl Client {
+    /// One of whom this says whether it has left.
+    pub fn new(has_left: impl Fn() -> bool + 'static) -> Client {
+        Client(Some(Rc::new(has_left)))
+    }
+
+    /// Has it closed its connection, or its side of it? Nothing new is begun for it then.
+    pub fn has_left(&self) -> bool {
+        self.0.as_ref().is_some_and(|has_left| has_left())
+    }
+}
+
 /// Counts the attempts that are begun for a request, in whichever pool. Known at any time, also where nobody is
 /// left to hear the answer.
 #[derive(Clone, Debug, Default)]
--- a/crates/proxy/src/inbox.rs
+++ b/crates/proxy/src/inbox.rs
@@ -7,17 +7,17 @@
 use decide::learned::Learned;
 use tokio::sync::{mpsc, oneshot};
 
-use crate::exchange::{Answer, Attempts, Ended, Message};
+use crate::exchange::{Answer, Attempts, Client, Ended, Message};
 
 /// Something that happened, as it waits for its turn.
 pub enum Input {
     Backends(ListScope, Vec<BackendEntry>),
-    Request(NewRequest, Rc<Message>, Attempts, oneshot::Sender<Answer>),
+    Request(NewRequest, Rc<Message>, Client, Attempts, oneshot::Sender<Answer>),
     /// The body of a request has come whole.
     Came(RequestId),
     Ended(RequestId, usize, Ended),
-    /// An attempt of a request that is over was called off: where to, and when it was sent.
-    Dropped(RequestId, usize, BackendId, Micros),
+    /// An attempt of a request that is over was called off: where to, when it was sent, and as what that counts.
+    Dropped(RequestId, usize, (BackendId, Micros), Outcome),
     ClientGone(RequestId),
     /// Set by the balancer of this seed, with this token.
     Timer(u64, u64),
@@ -54,12 +54,13 @@
         &self,
         mut new: NewRequest,
         message: Rc<Message>,
+        client: Client,
         attempts: Attempts,
     ) -> (RequestId, oneshot::Receiver<Answer>) {
         new.id = RequestId(self.last_id.get() + 1);
         self.last_id.set(new.id.0);
         let (id, (sender, receiver)) = (new.id, oneshot::channel());
-        self.tell(Input::Request(new, message, attempts, sender));
+        self.tell(Input::Request(new, message, client, attempts, sender));
         (id, receiver)
     }
 
--- a/crates/proxy/src/server/http.rs
+++ b/crates/proxy/src/server/http.rs
@@ -106,6 +106,7 @@
         biased;
         _ = connection.as_mut() => return,
         () = caller.drop.notified() => return,
+        () = caller.given_up() => return,
         () = caller.close.notified() => {}
     }
     // A request that has come in just now, or a part of it, is answered first; its answer says that the connection ends.
@@ -113,8 +114,10 @@
         connection.as_mut().graceful_shutdown();
     }
     tokio::select! {
+        biased;
         _ = connection => {}
         () = caller.drop.notified() => {}
+        () = caller.given_up() => {}
     }
 }
 
@@ -128,7 +131,7 @@
     let read = request::read(&*gate.router, &gate.ids, &caller.socket, &caller.kept, &tally, request);
     let answer = match read.await {
         // Its time counts from its last byte; one that flows brings along how long it may take to come.
-        Ok(Taken::Sound(sound)) => serving::serve(callers, *sound, Instant::now()).await,
+        Ok(Taken::Sound(sound)) => serving::serve(callers, *sound, &caller.client(), Instant::now()).await,
         Ok(Taken::Known(answer)) => answer,
         Err(turned) => {
             tally.end(turned.fate());
--- a/crates/proxy/src/server/mod.rs
+++ b/crates/proxy/src/server/mod.rs
@@ -20,7 +20,7 @@
 use tokio::time::{timeout, timeout_at, Instant};
 
 use crate::clock::Clock;
-use crate::exchange::MOST_BUFFER;
+use crate::exchange::{Client, MOST_BUFFER};
 use crate::flow::STALL;
 use crate::gate::{Connection, Router};
 use crate::ids::Ids;
@@ -74,6 +74,8 @@
     closing: Cell<bool>,
     /// Ends the connection as it is.
     drop: Notify,
+    /// Ends it as it is unless a request has come meanwhile.
+    give_up: Notify,
     /// What the router keeps with it.
     kept: Connection,
     /// While an answer flows to it: what had been written when that was last looked at, and since when it has been so.
@@ -136,13 +138,14 @@
         let due = Instant::now() + LOOK;
         tokio::time::sleep_until(due).await;
         callers.shutdown.borrow_mut().was_late(due.elapsed().as_micros() as Micros);
-        callers.all.borrow().values().filter(|c| c.is_stuck()).for_each(|c| c.drop.notify_one());
+        let is_over = |c: &&Rc<Caller>| c.is_stuck() || (c.busy.get() && c.socket.is_ended());
+        callers.all.borrow().values().filter(is_over).for_each(|c| c.drop.notify_one());
         for caller in callers.all.borrow().values().filter(|c| !c.busy.get()) {
             // Calls come when they come; what is begun is to be ended.
             let patient = caller.asked.get() || callers.gate.protocol != Protocol::Http;
             let since = if patient { caller.socket.since() } else { Some(caller.used.get()) };
             if since.is_some_and(|since| since.elapsed() > HEAD) {
-                caller.drop.notify_one();
+                caller.give_up.notify_one();
             }
         }
     }
@@ -196,7 +199,8 @@
                 self.time_up.send_replace(true);
             }
             let open: Vec<_> = self.all.borrow().values().cloned().collect();
-            let busy = open.iter().filter(|c| c.busy.get()).count();
+            // What lies there unread was taken all the same.
+            let busy = open.iter().filter(|c| c.busy.get() || c.socket.unread() == Unread::Data).count();
             if self.shutdown.borrow().may_leave(now, open.len(), busy) {
                 return;
             }
@@ -204,7 +208,7 @@
                 match self.shutdown.borrow().fate(now, &caller.state(self.clock, is_over)) {
                     Fate::Keep => {}
                     Fate::AfterAnswer => caller.closing.set(true),
-                    Fate::Close if is_time_up => caller.drop.notify_one(),
+                    Fate::Close if is_time_up => caller.give_up.notify_one(),
                     Fate::Close => caller.ask_to_close(),
                 }
             }
@@ -251,6 +255,12 @@
 }
 
 impl Caller {
+    /// Who waits for the answers that go out on it.
+    fn client(&self) -> Client {
+        let socket = self.socket.clone();
+        Client::new(move || socket.is_ended() || socket.unread() == Unread::Closed)
+    }
+
     /// Its answer begins to flow.
     fn flows(&self) {
         self.flowing.set(Some((self.socket.written(), Instant::now())));
@@ -289,6 +299,17 @@
         self.socket.bytes_in() > 0 || self.socket.unread() == Unread::Data
     }
 
+    /// Completes once the connection is to be given up. What came in this very moment was taken, and is answered: the
+    /// kernel is asked last thing before the close.
+    async fn given_up(&self) {
+        loop {
+            self.give_up.notified().await;
+            if !self.busy.get() && self.socket.unread() != Unread::Data {
+                return;
+            }
+        }
+    }
+
     fn ask_to_close(&self) {
         self.closing.set(true);
         self.close.notify_one();
@@ -317,6 +338,7 @@
         close: Notify::new(),
         closing: Cell::new(false),
         drop: Notify::new(),
+        give_up: Notify::new(),
         kept: Connection::default(),
         flowing: Cell::new(None),
     });
--- a/crates/proxy/src/server/rpc.rs
+++ b/crates/proxy/src/server/rpc.rs
@@ -18,7 +18,7 @@
 use tokio::time::{sleep_until, timeout, Instant};
 
 use super::{serving, Caller, Callers};
-use crate::exchange::{Answer, Called};
+use crate::exchange::{Answer, Called, Client};
 use crate::figures::Tally;
 use crate::gate::Turned;
 use crate::guard::caught;
@@ -67,8 +67,10 @@
         unwanted: false,
     };
     tokio::select! {
+        biased;
         () = connection.run(socket, most) => {}
         () = caller.drop.notified() => {}
+        () = caller.given_up() => {}
     }
     // Calls that are still open end with it: their callers have left.
 }
@@ -275,9 +277,9 @@
         let (quiet, mut heard): (Vec<_>, Vec<_>) = entries.into_iter().partition(|e| e.quiet);
         for entry in quiet {
             self.open += 1;
-            let callers = Rc::clone(&self.callers);
+            let (callers, client) = (Rc::clone(&self.callers), self.caller.client());
             self.running.spawn_local(async move {
-                entry.answer(&callers, received).await;
+                entry.answer(&callers, &client, received).await;
                 Done { answer: None, calls: 1, ids: Vec::new() }
             });
         }
@@ -291,23 +293,23 @@
                 sound.patience = patience;
             }
         }
-        let (calls, callers) = (heard.len(), Rc::clone(&self.callers));
+        let (calls, callers, client) = (heard.len(), Rc::clone(&self.callers), self.caller.client());
         let ids = heard.iter_mut().filter_map(|e| e.open.take()).collect();
         self.open += calls;
         if !batch {
             let Some(entry) = heard.pop() else { return };
             self.running.spawn_local(async move {
-                Done { answer: entry.answer(&callers, received).await, calls, ids }
+                Done { answer: entry.answer(&callers, &client, received).await, calls, ids }
             });
             return;
         }
         self.running.spawn_local(async move {
             let mut side: JoinSet<(usize, Option<Vec<u8>>, Id)> = JoinSet::new();
             for (place, entry) in heard.into_iter().enumerate() {
-                let callers = Rc::clone(&callers);
+                let (callers, client) = (Rc::clone(&callers), client.clone());
                 side.spawn_local(async move {
                     let id = entry.id.clone();
-                    (place, entry.answer(&callers, received).await, id)
+                    (place, entry.answer(&callers, &client, received).await, id)
                 });
             }
             let mut answers: Vec<Option<(Vec<u8>, Id)>> = (0..calls).map(|_| None).collect();
@@ -372,13 +374,15 @@
     }
 
     /// Its answer as a message.
-    async fn answer(self, callers: &Callers, received: Instant) -> Option<Vec<u8>> {
+    async fn answer(self, callers: &Callers, client: &Client, received: Instant) -> Option<Vec<u8>> {
         let (id, tally) = (self.id.as_deref(), self.tally);
         let answer = match self.taken {
-            Ok(Taken::Sound(sound)) => match caught(serving::serve(callers, *sound, received)).await {
-                Some(answer) => answer,
-                None => return Some(jsonrpc::error(id, code::INTERNAL, "a fault of the proxy", None)),
-            },
+            Ok(Taken::Sound(sound)) => {
+                match caught(serving::serve(callers, *sound, client, received)).await {
+                    Some(answer) => answer,
+                    None => return Some(jsonrpc::error(id, code::INTERNAL, "a fault of the proxy", None)),
+                }
+            }
             Ok(Taken::Known(answer)) => answer,
             Err(error) => return error,
         };
--- a/crates/proxy/src/server/serving.rs
+++ b/crates/proxy/src/server/serving.rs
@@ -7,7 +7,7 @@
 use tokio::time::{sleep_until, Instant};
 
 use super::Callers;
-use crate::exchange::Answer;
+use crate::exchange::{Answer, Client};
 use crate::gate::Next;
 use crate::inbox::Handle;
 use crate::request::Sound;
@@ -19,7 +19,7 @@
 
 /// Hands a request to the decisions, of one pool after another where it is refused, until it has its answer. Dropping
 /// this tells them that its client left.
-pub async fn serve(callers: &Callers, sound: Sound, received: Instant) -> Answer {
+pub async fn serve(callers: &Callers, sound: Sound, client: &Client, received: Instant) -> Answer {
     let Sound { mut new, message, mut course, patience, mut held, claim: _claim } = sound;
     if callers.is_time_up() {
         return Answer::Refused { retry_after: 0, never_ran: true };
@@ -36,7 +36,7 @@
     let answer = loop {
         new.time_left = decided.saturating_sub(spent).as_micros() as Micros;
         let handle = course.handle().clone();
-        let (id, answer) = handle.request(new.clone(), Rc::clone(&message), course.begun());
+        let (id, answer) = handle.request(new.clone(), Rc::clone(&message), client.clone(), course.begun());
         let gone = Gone(&handle, id);
         let answer = tokio::select! {
             biased;
--- a/crates/proxy/src/socket.rs
+++ b/crates/proxy/src/socket.rs
@@ -1,15 +1,15 @@
 //! A TCP socket that can be looked at while hyper owns it.
 
 use std::cell::{Cell, RefCell};
-use std::future::poll_fn;
+use std::future::{poll_fn, Future};
 use std::io;
 use std::mem::MaybeUninit;
-use std::pin::Pin;
+use std::pin::{pin, Pin};
 use std::rc::Rc;
-use std::task::{ready, Context, Poll};
+use std::task::{ready, Context, Poll, Waker};
 
 use socket2::SockRef;
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
@@ -143,6 +143,16 @@
         self.0.written.get()
     }
 
+    /// Has the runtime heard that the other side has ended or broken the connection? Also where bytes lie unread before that.
+    pub fn is_ended(&self) -> bool {
+        let ready = pin!(self.0.stream.ready(Interest::READABLE));
+        match ready.poll(&mut Context::from_waker(Waker::noop())) {
+            Poll::Ready(Ok(ready)) => ready.is_read_closed(),
+            Poll::Ready(Err(_)) => true,
+            Poll::Pending => false,
+        }
+    }
+
     /// Asks the kernel, which knows of a closure before the runtime has come round to it.
     pub fn unread(&self) -> Unread {
         match SockRef::from(&self.0.stream).peek(&mut [MaybeUninit::uninit()]) {
--- /dev/null
+++ b/tests/crossing.rs
@@ -0,0 +1,104 @@
+//! The instant of a close: a request that has come by then is answered, whoever was about to close. The order is forced by
+//! halting the process while the request comes.
+
+mod stubs;
+
+use std::io::{BufReader, Write};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use stubs::*;
+
+/// A silent connection is given up after this.
+const HEAD: Duration = Duration::from_secs(3);
+
+#[test]
+fn a_first_request_that_comes_as_a_silent_connection_is_given_up_is_answered() {
+    let backend = Backend::new([ok("done")]);
+    let proxy = Setup::of(&[&backend]).start();
+    // On connections of all ages round the one at which they are given up.
+    let opened = Instant::now();
+    let mut callers: Vec<_> = (0..6).map(|_| proxy.caller()).collect();
+    thread::sleep((HEAD - Duration::from_millis(300)).saturating_sub(opened.elapsed()));
+    proxy.signal("STOP");
+    for (number, caller) in callers.iter_mut().enumerate() {
+        caller.send(&read(&format!("id-{number}"), 9_000));
+    }
+    thread::sleep((HEAD + Duration::from_millis(400)).saturating_sub(opened.elapsed()));
+    // Now it finds at once that their time is up and that their requests are there.
+    proxy.signal("CONT");
+    for caller in &mut callers {
+        assert_eq!(caller.hear().body, b"done");
+    }
+}
+
+#[test]
+fn a_request_that_comes_as_the_last_answers_are_due_is_answered() {
+    let backend = Backend::new([ok("done")]);
+    let mut setup = Setup::of(&[&backend]);
+    setup.deadline_ms = 300;
+    setup.aim_ms = 300;
+    setup.balancers = 2;
+    let mut proxy = setup.start();
+    // They rest, and rest on until the proxy ends them.
+    let mut callers: Vec<_> = (0..8).map(|_| proxy.caller()).collect();
+    for (number, caller) in callers.iter_mut().enumerate() {
+        assert_eq!(caller.ask(&read(&format!("first-{number}"), 250)).status(), 200);
+    }
+    proxy.terminate();
+    proxy.says("told to end");
+    // By its settings it takes requests for 0.5 s, and is killed after one second.
+    thread::sleep(Duration::from_millis(300));
+    proxy.signal("STOP");
+    for (number, caller) in callers.iter_mut().enumerate() {
+        caller.send(&read(&format!("last-{number}"), 250));
+    }
+    thread::sleep(Duration::from_millis(600));
+    proxy.signal("CONT");
+    for (number, caller) in callers.iter_mut().enumerate() {
+        let status = caller.hear().status();
+        assert!([200, 503].contains(&status), "last-{number}: {status}");
+    }
+    assert!(proxy.end().success());
+}
+
+#[test]
+fn what_a_backend_says_on_a_resting_connection_is_no_answer_to_the_next_request() {
+    let second = "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nstolen";
+    for rest in ["H", "HTTP/1.1 200 OK\r\nContent-Le", second] {
+        let connections = Arc::<AtomicUsize>::default();
+        let counted = Arc::clone(&connections);
+        let address = raw_backend(move |mut stream| {
+            let number = counted.fetch_add(1, Ordering::Relaxed);
+            let mut reader = BufReader::new(stream.try_clone().expect("a copy"));
+            while hear(&mut reader).is_some() {
+                let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nown");
+                if number == 0 {
+                    // A write of its own, after the answer.
+                    thread::sleep(Duration::from_millis(30));
+                    let _ = stream.write_all(rest.as_bytes());
+                }
+            }
+        });
+        let mut setup = Setup::of(&[]);
+        setup.hosts.push(host("s-0", address, "SERVING"));
+        let proxy = setup.start();
+        let mut caller = proxy.caller();
+        assert_eq!(caller.ask(&write("id-1", 9_000, "x")).body, b"own");
+        thread::sleep(Duration::from_millis(80));
+        assert_eq!(caller.ask(&write("id-2", 9_000, "x")).body, b"own", "{rest}");
+        assert_eq!(connections.load(Ordering::Relaxed), 2, "{rest}");
+    }
+}
+
+#[test]
+fn the_same_id_again_right_after_its_answer_is_a_new_request() {
+    let backend = Backend::new([ok("one"), ok("two")]);
+    let proxy = Setup::of(&[&backend]).start();
+    let mut caller = proxy.caller();
+    assert_eq!(caller.ask(&write("id-1", 9_000, "x")).body, b"one");
+    assert_eq!(caller.ask(&write("id-1", 9_000, "x")).body, b"two");
+    assert_eq!(proxy.ask(&write("id-1", 9_000, "x")).body, b"two");
+}
