--- a/crates/decide/tests/common/mod.rs
+++ b/crates/decide/tests/common/mod.rs
@@ -61,6 +61,11 @@
         out
     }
 
+    /// The same, up to a moment.
+    pub fn wait_until(&mut self, at: Micros) -> Vec<Action> {
+        self.wait((at - self.now).max(0))
+    }
+
     /// A request of a class with two seconds to go, and what was done about it.
     pub fn request(&mut self, class: usize) -> (RequestId, Vec<Action>) {
         self.request_with(class, 2_000_000)
