Clients with half a request give way to others sooner, idle ones before them

Need: idle clients may fill the descriptors, while discovery is down, too; who has a whole request is served in time. Seen: with 256 descriptors and 450 idle clients (silent, half a head, resting) the first whole request took 5.5 s. At fault: close_one picked by age alone and then waited for a half request to end, which look gives up after three seconds. Change: idle connections give way first; half requests that are to give way have 0.5 s.

--- a/crates/proxy/src/server/mod.rs
+++ b/crates/proxy/src/server/mod.rs
@@ -30,6 +30,8 @@
 /// The head of a request has come whole within this time: from the start of the connection for its first
 /// request, from the head's first byte later on. Guards against callers that hold descriptors and say nothing.
 const HEAD: Duration = Duration::from_secs(3);
+/// The same where another connection waits for its room.
+const HURRIED: Duration = Duration::from_millis(500);
 /// How often that is looked at.
 const LOOK: Duration = Duration::from_millis(100);
 /// Pause before trying again to accept where that failed or there is no room: trying at once would spin.
@@ -144,7 +146,8 @@
             // Calls come when they come; what is begun is to be ended.
             let patient = caller.asked.get() || callers.gate.protocol != Protocol::Http;
             let since = if patient { caller.socket.since() } else { Some(caller.used.get()) };
-            if since.is_some_and(|since| since.elapsed() > HEAD) {
+            let hurried = caller.closing.get() && !callers.is_ending();
+            if since.is_some_and(|since| since.elapsed() > if hurried { HURRIED } else { HEAD }) {
                 caller.give_up.notify_one();
             }
         }
@@ -241,14 +244,14 @@
         self.all.borrow().values().filter(|c| !c.closing.get()).count()
     }
 
-    /// Has a connection end: the one idle for longest, or one that is to say so with its answer. Not one that
-    /// has just come and not asked yet: its first request would cross the closing.
+    /// Has a connection end: the one idle for longest, else one with half a request, or one that is to say so with its
+    /// answer. Not one that has just come and not asked yet: its first request would cross the closing.
     fn close_one(&self) {
         let all = self.all.borrow();
         let staying = all.values().filter(|c| !c.closing.get());
         let now = self.clock.now();
         let known = staying.filter(|c| c.busy.get() || !c.state(self.clock, false).is_new(now));
-        if let Some(caller) = known.min_by_key(|c| (c.busy.get(), c.used.get())) {
+        if let Some(caller) = known.min_by_key(|c| (c.busy.get(), c.socket.bytes_in() > 0, c.used.get())) {
             caller.ask_to_close();
         }
     }
--- a/tests/stubs/mod.rs
+++ b/tests/stubs/mod.rs
@@ -101,6 +101,13 @@
     Process::watch(run_with(env!("CARGO_BIN_EXE_amberlever"), Some(&path), None), path)
 }
 
+/// The same, with so many descriptors at most.
+#[track_caller]
+pub fn start_limited(config: &str, descriptors: u32) -> Process {
+    let path = kept(config);
+    Process::watch(run_with(env!("CARGO_BIN_EXE_amberlever"), Some(&path), Some(descriptors)), path)
+}
+
 /// An own installation, started with this configuration; files named beside it lie in the same folder.
 #[track_caller]
 pub fn serve(config: &str, beside: &[(&str, &str)]) -> Process {
