--- a/crates/members/tests/told.rs
+++ b/crates/members/tests/told.rs
@@ -547,3 +547,30 @@
         }
     }
 }
+
+#[test]
+fn a_hundred_processes_that_start_without_a_list_use_all_that_discovery_can_answer() {
+    for (a_second, back) in [(4, 0), (4, S), (12, 0), (12, S), (40, S)] {
+        let (mut ready, mut least, mut times) = (0, usize::MAX, Vec::new());
+        for seed in 0..20_u64 {
+            let mut fleet = Fleet::new(100, S, 100 * MS, (0, back), 0, seed);
+            fleet.each = S / a_second;
+            fleet.watches = (0..100).map(|p| Watch::new(ASKED, false, seed * 1_000 + p)).collect();
+            fleet.play(60 * S);
+            let in_time = fleet.seen.iter().filter(|at| at.is_some_and(|at| at <= 10 * S)).count();
+            (ready, least) = (ready + in_time, least.min(in_time));
+            times.extend(fleet.seen.iter().map(|at| at.expect("all have a list in the end")));
+        }
+        times.sort_unstable();
+        let could = ((10 * S - back) * a_second / S).min(100) as usize;
+        println!(
+            "{a_second} calls a second, back after {} s: {} of 100 ready within 10 s, {least} at least; discovery could answer {could}; \
+             the median after {:.1} s, the last after {:.1} s",
+            back / S,
+            ready / 20,
+            times[times.len() / 2] as f64 / S as f64,
+            times[times.len() - 1] as f64 / S as f64
+        );
+        assert!(10 * least >= 9 * could, "{a_second} a second: {least} of {could}");
+    }
+}
