Test rigs hold the port where nobody listens yet, so that no other process takes it

Seen: once in four runs of tests/told.rs beside other tests the port that was to be opened again had been taken as another's ephemeral port. Now the socket stays bound, and listens when it is opened.

--- a/crates/testkit/src/discovery.rs
+++ b/crates/testkit/src/discovery.rs
@@ -7,6 +7,8 @@
 use std::thread;
 use std::time::Instant;
 
+use socket2::{Domain, Socket, Type};
+
 use crate::message::hear;
 use crate::PATIENCE;
 
@@ -15,6 +17,47 @@
     TcpListener::bind("127.0.0.1:0").expect("a port").local_addr().expect("bound")
 }
 
+/// A port that is held and where nobody listens, until somebody does.
+pub struct Closed(Socket);
+
+impl Closed {
+    /// Takes a port.
+    ///
+    /// # Panics
+    /// There is none to be had.
+    #[must_use]
+    pub fn new() -> Closed {
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+        socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).expect("a port");
+        Closed(socket)
+    }
+
+    /// Its address.
+    ///
+    /// # Panics
+    /// It has none.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.0.local_addr().expect("bound").as_socket().expect("an address")
+    }
+
+    /// Connections are taken from now on.
+    ///
+    /// # Panics
+    /// They cannot be.
+    #[must_use]
+    pub fn open(self) -> TcpListener {
+        self.0.listen(128).expect("listens");
+        self.0.into()
+    }
+}
+
+impl Default for Closed {
+    fn default() -> Self {
+        Closed::new()
+    }
+}
+
 pub fn host(name: &str, dial: SocketAddr, health: &str) -> String {
     format!(
         r#"{{"host":"{name}","dial":"{dial}","site":"here","class":"m","block":0,"health":"{health}","share":1.0,"born_ms":0}}"#
--- a/tests/descriptors.rs
+++ b/tests/descriptors.rs
@@ -4,7 +4,7 @@
 mod stubs;
 
 use std::io::{BufReader, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::TcpStream;
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -14,8 +14,8 @@
 const LEAST: u32 = 256;
 
 /// Answers each call with this list, until the test ends.
-fn discovery_at(at: SocketAddr, list: String) -> thread::JoinHandle<Instant> {
-    let listener = TcpListener::bind(at).expect("the port");
+fn discovery_at(closed: Closed, list: String) -> thread::JoinHandle<Instant> {
+    let listener = closed.open();
     thread::spawn(move || {
         let (mut stream, _) = listener.accept().expect("asked");
         let since = Instant::now();
@@ -39,7 +39,8 @@
     let mut setup = Setup::of(&[&first]);
     setup.sockets = LEAST;
     setup.descriptors = Some(LEAST);
-    let down = nobody();
+    let (closed, returned) = (Closed::new(), Closed::new());
+    let down = closed.address();
     let config = with_operators(&setup.config(down));
     let proxy = start_limited(&config, LEAST);
     // Three kinds of idle ones, far more than there is room for; all of them wait for one that is never accepted.
@@ -79,11 +80,9 @@
         since.elapsed()
     );
     // Discovery returns, at another address that a new configuration names, and tells of a node that was never connected to.
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
-    let back = listener.local_addr().expect("bound");
-    drop(listener);
+    let back = returned.address();
     let told = list(7, true, &[host("s-new", second.address, "SERVING")]);
-    let asked = discovery_at(back, told);
+    let asked = discovery_at(returned, told);
     let reloaded = Instant::now();
     proxy.reload(&config.replace(&down.to_string(), &back.to_string()));
     let asked = asked.join().expect("asked");
--- a/tests/told.rs
+++ b/tests/told.rs
@@ -4,7 +4,6 @@
 mod stubs;
 
 use std::io::{BufReader, Write};
-use std::net::TcpListener;
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -111,13 +110,11 @@
 #[test]
 fn an_outage_that_the_kernel_vouches_for_stops_nothing_and_its_end_is_heard_of_in_time() {
     let (address, seen) = noting();
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
-    let at = listener.local_addr().expect("bound");
-    drop(listener);
+    let closed = Closed::new();
     let (other, _others) = noting();
     let mut setup = setup(address);
     setup.hosts.push(host("s-1", other, "SERVING"));
-    let config = setup.config(at);
+    let config = setup.config(closed.address());
     let proxy = start_config(&config);
     let began = Instant::now();
     let served = ask_until(&proxy, began + Duration::from_secs(9));
@@ -125,7 +122,7 @@
     assert!(began + Duration::from_millis(8_500) < *last, "stopped after {:?}", *last - began);
     // It is back, and the drain was made in the last moment of the outage.
     let back = Instant::now();
-    let listener = TcpListener::bind(at).expect("the port again");
+    let listener = closed.open();
     let told = thread::spawn(move || {
         let (mut stream, _) = listener.accept().expect("asked");
         let heard = Instant::now();
