A discovery that moves, refuses, then gives calls up in their turn is believed to be down

Ruled out: a hold by lateness, which has another bound for calls that wait. At fault: Watch::miss kept six seconds from a refusal or a cut although the calls that followed were given up in their turn, and pauses of a second at most after any move. Change: a cut in turn counts as an error in turn; belief in an outage counts anew after a refusal; the short pauses are for a process that never had a list.

--- a/crates/members/src/watch.rs
+++ b/crates/members/src/watch.rs
@@ -168,6 +168,8 @@
     on: bool,
     /// There is a list that changes can be told to.
     listed: bool,
+    /// There has never been one.
+    is_blank: bool,
     calls: Vec<Call>,
     next: Option<Micros>,
     /// From when on something counts as told that was not heard.
@@ -176,6 +178,8 @@
     missed: Option<Micros>,
     /// Discovery may have been reached by others since, and may have had something then.
     was_there: bool,
+    /// Nobody could reach it last time.
+    was_refused: bool,
     /// Since when it is believed to be down.
     down: Option<Micros>,
     /// When an answer came last.
@@ -195,11 +199,13 @@
             last: 0,
             on: false,
             listed,
+            is_blank: !listed,
             calls,
             next: None,
             owed: None,
             missed: None,
             was_there: false,
+            was_refused: false,
             down: None,
             answered: None,
             tries: 0,
@@ -254,6 +260,7 @@
                 self.drop_all(out);
                 (self.listed, self.owed, self.missed, self.tries) = (true, None, None, 0);
                 (self.was_there, self.down, self.answered) = (false, None, Some(now));
+                (self.is_blank, self.was_refused) = (false, false);
                 let soonest = call.asked + if news { 0 } else { SHORTEST_WATCH };
                 if soonest <= now {
                     self.ask(now, out);
@@ -302,12 +309,15 @@
             };
             return;
         }
+        let was_up = self.down.is_none();
         match failure {
             Failure::Refused => self.down = None,
-            // It may be down: then watches end at any moment, and calls are given up in their turn.
+            // It may be down: then calls are given up in their turn, with words or without, and watches end at any moment.
+            Failure::Answered | Failure::Cut if call.was_in_turn(now) => {
+                self.down.get_or_insert(call.asked);
+            }
             Failure::Answered if now - call.asked >= AT_ONCE => {
-                let since = if call.was_in_turn(now) { call.asked } else { now };
-                self.down.get_or_insert(since);
+                self.down.get_or_insert(now);
             }
             _ => {}
         }
@@ -320,8 +330,11 @@
             }
             _ => call.asked + TOLD_ANYHOW,
         };
-        // The time counts anew from when nobody could reach it, unless it was there in between.
-        let anew = failure == Failure::Refused && !self.was_there;
+        // The time counts anew from when nobody could reach it, unless it was there in between; and where it may be down
+        // since then.
+        let goes_down = self.was_refused && was_up && self.down.is_some();
+        let anew = (failure == Failure::Refused || goes_down) && !self.was_there;
+        self.was_refused = failure == Failure::Refused;
         self.missed = Some(self.missed.filter(|_| !anew).map_or(told, |missed| missed.min(told)));
         self.was_there |= failure != Failure::Refused && self.down.is_none() && !call.watched(now);
     }
@@ -351,7 +364,7 @@
         // An agent beside the proxy bears any number of calls.
         let most = match PAUSES[usize::from(self.tries > 0 && self.policy.answers_each)] {
             // Nothing can be served before.
-            most if !self.listed => most.min(FIRST_CALL),
+            most if self.is_blank => most.min(FIRST_CALL),
             most => most,
         };
         self.tries += 1;
