After a move of discovery its first errors tell of a crowd, so an outage is believed in

At fault: Watch::miss takes errors that come at once for a word to this caller. Change: from Event::Moved on an outage is believed in, until an answer comes.

--- a/crates/members/src/watch.rs
+++ b/crates/members/src/watch.rs
@@ -246,6 +246,8 @@
             Event::Moved => {
                 // It may count its versions in its own way: only a whole list says where it is.
                 self.listed = false;
+                // The whole fleet moves with it: its first errors tell of a crowd, and of nothing that was there before.
+                self.down.get_or_insert(now);
                 self.drop_all(out);
                 self.ask(now, out);
             }
