Failing tests: a process that starts with an old list sends by it past the grace

Change: the emulator restarts a part of its proxies with the list that each had, has outages of discovery, and counts late sends by the operators' term alone (six seconds after discovery had a change and could be reached, at the earliest when the process started). Its discovery knows all changes from the start: before, a call that was already waiting never told of a change made while it waited, so the stand-in hid what a watch hears and when.

--- a/crates/emulate/src/discovery.rs
+++ b/crates/emulate/src/discovery.rs
@@ -21,11 +21,12 @@
     Whole(Micros, usize),
     Broken(Micros),
     TurnedAway(Micros),
-    Silent,
+    /// Never; what it misses counts as known from then on.
+    Silent(Micros),
 }
 
 pub struct Discovery {
-    /// What changed, in order, and when discovery knew.
+    /// What changes over the whole run, in order, and when discovery knows.
     pub changes: Vec<(Micros, BackendId, Stage)>,
     free: Micros,
     pub in_turn: u64,
@@ -33,8 +34,17 @@
 }
 
 impl Discovery {
-    pub fn new() -> Discovery {
-        Discovery { changes: Vec::new(), free: 0, in_turn: 0, turned_away: 0 }
+    /// A discovery that will tell of the fleet's release: the oldest node drains, and a new one takes its place.
+    pub fn new(fleet: &Fleet) -> Discovery {
+        let mut changes = Vec::new();
+        if let Some((from, every, until)) = fleet.release {
+            let times = (0..).map(|step| from + every * step).take_while(|at| *at < until.max(from + 1));
+            for (at, old) in times.zip(0_u32..) {
+                changes.push((at, BackendId(old + fleet.nodes as u32), Stage::Ready));
+                changes.push((at, BackendId(old), Stage::Draining));
+            }
+        }
+        Discovery { changes, free: 0, in_turn: 0, turned_away: 0 }
     }
 
     /// How many changes are known at a time.
@@ -52,6 +62,11 @@
         (seen, wait, last): (usize, Micros, Option<Micros>),
     ) -> (End, Option<(Micros, usize)>) {
         let mut from = now;
+        let is_down = |at: Micros| fleet.outage.is_some_and(|(begin, end)| (begin..end).contains(&at));
+        if is_down(now) {
+            self.turned_away += 1;
+            return (End::TurnedAway(now + PATIENCE), None);
+        }
         if last.is_none_or(|at| now > at + GOES_ON) {
             self.in_turn += 1;
             let turn = self.free.max(now) + fleet.all_calls / fleet.proxies.max(USUAL) as Micros;
@@ -64,11 +79,14 @@
         let over = now + wait;
         let news = self.changes.get(seen).map_or(over.max(from), |(known, ..)| (*known).max(from));
         let ends = news.min(over.max(from));
+        if let Some((begin, _)) = fleet.outage.filter(|(begin, _)| (from..=ends).contains(begin)) {
+            return (End::TurnedAway(begin), None);
+        }
         let version = self.version(ends);
         let drawn = rng.f64();
         let unheard = |at: Micros| (version > seen).then_some((at, version));
         if drawn < fleet.silent {
-            (End::Silent, unheard(over + 2 * S))
+            (End::Silent(over + 2 * S), unheard(over + 2 * S))
         } else if drawn < fleet.silent + fleet.breaks {
             (End::Broken(ends + WAY), unheard(ends + 2 * S))
         } else {
--- a/crates/emulate/src/lib.rs
+++ b/crates/emulate/src/lib.rs
@@ -7,6 +7,8 @@
 
 mod discovery;
 mod node;
+mod notification;
+mod restart;
 mod world;
 
 use decide::interface::Micros;
@@ -16,6 +18,17 @@
 /// A second.
 pub const S: Micros = 1_000 * MS;
 
+/// Proxies that are killed in one instant, and start again together with the list that each had.
+#[derive(Clone, Copy, Debug)]
+pub struct Restart {
+    /// When they are killed.
+    pub at: Micros,
+    /// The part of all proxies that are.
+    pub share: f64,
+    /// They start again so much later.
+    pub downtime: Micros,
+}
+
 /// What is played.
 #[derive(Clone, Debug)]
 pub struct Fleet {
@@ -41,6 +54,10 @@
     pub breaks: f64,
     /// The part of its calls that fall silent.
     pub silent: f64,
+    /// Discovery is down from the first moment to the second: calls end in errors after their turn, watches at once.
+    pub outage: Option<(Micros, Micros)>,
+    /// Proxies that are killed and start again.
+    pub restart: Option<Restart>,
     /// Callers shed: of what they would ask, the part is left out that was lately refused or failed.
     pub callers_shed: bool,
     /// Feeds all chance.
@@ -61,6 +78,8 @@
             all_calls: 4 * S,
             breaks: 0.0,
             silent: 0.0,
+            outage: None,
+            restart: None,
             callers_shed: false,
             seed: 1,
         }
@@ -80,6 +99,8 @@
     pub refused: u64,
     /// Sends to a node later than its grace after its drain counts as told.
     pub late_sends: u64,
+    /// Attempts that were not sent because the list in hand was older than it may be.
+    pub withheld: u64,
     /// Cold nodes that were pushed over.
     pub pushed_over: u64,
     /// Connections made to nodes.
--- a/crates/emulate/src/world.rs
+++ b/crates/emulate/src/world.rs
@@ -5,16 +5,16 @@
 use decide::interface::*;
 use decide::Balancer;
 use fastrand::Rng;
-use members::{CallId, Hold, Policy, Watch};
+use members::{CallId, Watch};
 
 use crate::discovery::{Discovery, End};
-use crate::node::{Node, CORES, FALL, WORK};
-use crate::{Fleet, Report, MS, S};
+use crate::node::{Node, CORES, WORK};
+use crate::{notification, Fleet, Report, MS, S};
 
-const AIM: Micros = S;
-const DEADLINE: Micros = 2_500 * MS;
-const GRACE: Micros = 500 * MS;
-const MUST_ASK: Micros = 10 * S;
+pub const AIM: Micros = S;
+pub const DEADLINE: Micros = 2_500 * MS;
+pub const GRACE: Micros = 500 * MS;
+pub const MUST_ASK: Micros = 10 * S;
 const KEEPALIVE: Micros = 7_500 * MS;
 /// One way between a proxy and a node.
 const WAY: Micros = 300;
@@ -27,29 +27,34 @@
 const DRAINS: Micros = 5 * S;
 
 #[derive(Clone, Copy)]
-enum What {
+pub enum What {
     /// A request, of a client that has asked so often.
     Arrives(Asked),
-    Timer(usize, u64),
+    /// A timer of a proxy, in its n-th life: its token.
+    Timer(usize, u32, u64),
     /// An attempt of a proxy ends: request, attempt, outcome.
     Ends(usize, u64, usize, Outcome),
     Wake(usize),
-    /// A call of a proxy ends.
-    Call(usize, u64, Ending),
+    /// A call of a proxy ends, in its n-th life.
+    Call(usize, u32, u64, Ending),
+    /// Proxies are killed.
+    Kill,
+    /// A proxy that was killed starts again.
+    Start(usize),
     Replace,
     /// A node has gone.
     Gone(u32),
 }
 
 #[derive(Clone, Copy)]
-enum Ending {
+pub enum Ending {
     Whole(usize),
     Broken,
     Failed,
 }
 
 #[derive(Clone, Copy)]
-struct Asked {
+pub struct Asked {
     /// When the client asked first.
     first: Micros,
     class: usize,
@@ -57,41 +62,46 @@
     work: Micros,
 }
 
-struct Open {
+pub struct Open {
     asked: Asked,
     /// Nodes of the attempts, and when they were sent; None once ended.
     attempts: Vec<(BackendId, Option<Micros>)>,
     answered: bool,
 }
 
-struct Proxy {
-    balancer: Balancer,
-    watch: Watch,
+pub struct Proxy {
+    pub balancer: Balancer,
+    pub watch: Watch,
+    /// How often it has started, and when it did last; None while it is killed.
+    pub life: u32,
+    pub started: Option<Micros>,
     /// When it is to be woken next.
-    wakes: Option<Micros>,
-    open: BTreeMap<u64, Open>,
+    pub wakes: Option<Micros>,
+    pub open: BTreeMap<u64, Open>,
     /// Idle connections by node, with when each was used last.
-    idle: BTreeMap<u32, Vec<Micros>>,
+    pub idle: BTreeMap<u32, Vec<Micros>>,
     /// The version of its list, and when it had its last answer.
-    seen: usize,
-    answered: Option<Micros>,
+    pub seen: usize,
+    pub answered: Option<Micros>,
     /// What counts as told of nodes that leave, whether it was heard or not.
-    told: BTreeMap<u32, Micros>,
-    unheard: Vec<(Micros, usize)>,
+    pub told: BTreeMap<u32, Micros>,
+    pub unheard: Vec<(Micros, usize)>,
+    /// A call fell silent since the last answer: what it misses counts as known then, if that is later.
+    pub silent: Option<Micros>,
 }
 
 pub struct World<'a> {
-    fleet: &'a Fleet,
-    rng: Rng,
-    now: Micros,
+    pub fleet: &'a Fleet,
+    pub rng: Rng,
+    pub now: Micros,
     /// What is to come, by its time and the order in which it was put.
     queue: BTreeMap<(Micros, u64), What>,
     numbers: u64,
     nodes: BTreeMap<u32, Node>,
     /// In the order in which they are replaced.
     line: VecDeque<u32>,
-    discovery: Discovery,
-    proxies: Vec<Proxy>,
+    pub discovery: Discovery,
+    pub proxies: Vec<Proxy>,
     /// The part of the last tries, some hundreds, that got no answer.
     lost: f64,
     report: Report,
@@ -99,40 +109,6 @@
 
 impl<'a> World<'a> {
     pub fn new(fleet: &'a Fleet) -> World<'a> {
-        let class =
-            |gain: f64, semantics| Class { aim: AIM, deadline: DEADLINE, gain, late_value: 0.0, semantics };
-        let hold = Hold { grace: GRACE, margin: 150 * MS, most: 4 * MUST_ASK, outage: MUST_ASK * 4 / 5 };
-        let proxy = |rank: usize| {
-            let settings = Settings {
-                balancers: fleet.proxies as u32,
-                rank: rank as u32,
-                tiers: 1,
-                classes: vec![class(12.0, Semantics::Idempotent), class(1.0, Semantics::AtMostOnce)],
-                ask_discovery: true,
-                must_ask_in: MUST_ASK,
-                can_cancel: true,
-                second_copies: true,
-                max_attempts: 3,
-                tick: 5 * MS,
-                cold_from: fleet.cold_from,
-                cold_time: fleet.cold,
-                fall_multiple: FALL.0,
-                fall_time: FALL.1,
-                ..Settings::default()
-            };
-            let seed = fleet.seed.wrapping_mul(1_000_003).wrapping_add(rank as u64);
-            Proxy {
-                balancer: Balancer::new(settings, seed),
-                watch: Watch::new(Policy { answers_each: true, hold: Some(hold) }, true, seed),
-                wakes: None,
-                open: BTreeMap::new(),
-                idle: BTreeMap::new(),
-                seen: 0,
-                answered: None,
-                told: BTreeMap::new(),
-                unheard: Vec::new(),
-            }
-        };
         let nodes: BTreeMap<u32, Node> = (0..fleet.nodes as u32).map(|id| (id, Node::new(None))).collect();
         World {
             fleet,
@@ -142,17 +118,19 @@
             numbers: 0,
             line: nodes.keys().copied().collect(),
             nodes,
-            discovery: Discovery::new(),
-            proxies: (0..fleet.proxies).map(proxy).collect(),
+            discovery: Discovery::new(fleet),
+            proxies: (0..fleet.proxies).map(|rank| Proxy::start(fleet, rank, 0, 0)).collect(),
             lost: 0.0,
             report: Report::default(),
         }
     }
 
     pub fn play(mut self) -> Report {
-        let entries: Vec<BackendEntry> = self.nodes.keys().map(|id| self.entry(*id, Stage::Ready)).collect();
         for p in 0..self.proxies.len() {
-            self.decide(p, Event::Backends { scope: ListScope::Cached, entries: &entries });
+            self.begin(p);
+        }
+        if let Some(restart) = self.fleet.restart {
+            self.at(restart.at, What::Kill);
         }
         if let Some((from, ..)) = self.fleet.release {
             self.at(from, What::Replace);
@@ -174,7 +152,7 @@
         self.report
     }
 
-    fn at(&mut self, at: Micros, what: What) {
+    pub fn at(&mut self, at: Micros, what: What) {
         self.numbers += 1;
         self.queue.insert((at, self.numbers), what);
     }
@@ -194,7 +172,7 @@
         Asked { first: self.now, class, tries: 0, work: self.exponential(WORK as f64).clamp(MS, 8 * WORK) }
     }
 
-    fn entry(&self, id: u32, stage: Stage) -> BackendEntry {
+    pub fn entry(&self, id: u32, stage: Stage) -> BackendEntry {
         let up_since = self.nodes.get(&id).and_then(|n| n.started);
         BackendEntry { id: BackendId(id), stage, weight: 1.0, up_since, ..BackendEntry::default() }
     }
@@ -202,7 +180,9 @@
     fn take(&mut self, what: What) {
         match what {
             What::Arrives(asked) => self.arrives(asked),
-            What::Timer(p, token) => self.decide(p, Event::Timer(token)),
+            What::Timer(p, life, token) if self.proxies[p].life == life => {
+                self.decide(p, Event::Timer(token));
+            }
             What::Ends(p, request, nth, outcome) => self.ends(p, request, nth, outcome),
             // One that was put before another moment was asked for is passed over.
             What::Wake(p) if self.proxies[p].wakes == Some(self.now) => {
@@ -210,7 +190,13 @@
                 self.watch(p, members::Event::Wake);
             }
             What::Wake(_) => {}
-            What::Call(p, id, ending) => self.call_ends(p, CallId(id), ending),
+            What::Call(p, life, id, ending) if self.proxies[p].life == life => {
+                self.call_ends(p, CallId(id), ending);
+            }
+            // Of a process that was killed.
+            What::Timer(..) | What::Call(..) => {}
+            What::Kill => self.kill(),
+            What::Start(p) => self.start_again(p),
             What::Replace => self.replace(),
             What::Gone(id) => {
                 if let Some(node) = self.nodes.get_mut(&id) {
@@ -238,7 +224,8 @@
         }
         self.report.tries += 1;
         self.numbers += 1;
-        let (id, p) = (self.numbers, self.rng.usize(0..self.proxies.len()));
+        let id = self.numbers;
+        let Some(p) = self.any_running() else { return };
         let asked = Asked { tries: asked.tries + 1, ..asked };
         let time_left = asked.first + DEADLINE - self.now;
         self.proxies[p].open.insert(id, Open { asked, attempts: Vec::new(), answered: false });
@@ -283,6 +270,7 @@
         open.attempts.push((to, Some(now)));
         if proxy.watch.hold().is_some_and(|(from, end)| from <= now && now < end) {
             // The request is refused by whoever decides: nothing was sent.
+            self.report.withheld += 1;
             return self.ends(p, id, nth, Outcome::Moot);
         }
         proxy.unheard.retain(|(at, version)| {
@@ -295,7 +283,10 @@
             }
             !due
         });
-        if proxy.told.get(&to.0).is_some_and(|told| now > told + GRACE) {
+        let by_term = notification::latest(self.fleet, &self.discovery.changes, to, proxy.started);
+        let by_term = by_term.map(|at| at.max(proxy.silent.unwrap_or(at)));
+        let told = proxy.told.get(&to.0).copied().into_iter().chain(by_term).min();
+        if told.is_some_and(|told| now > told + GRACE) {
             self.report.late_sends += 1;
         }
         let idle = proxy.idle.entry(to.0).or_default();
@@ -347,7 +338,7 @@
 
     // ---- Decisions and watches ----
 
-    fn decide(&mut self, p: usize, event: Event<'_>) {
+    pub fn decide(&mut self, p: usize, event: Event<'_>) {
         let mut actions = Vec::new();
         self.proxies[p].balancer.handle(self.now, event, &mut actions);
         for action in actions {
@@ -356,7 +347,9 @@
                 Action::Refuse { request, .. } => self.refused(p, request.0),
                 Action::Fail(request) => drop(self.answer(p, request.0, false)),
                 Action::Cancel { request, attempt } => self.ends(p, request.0, attempt, Outcome::Cancelled),
-                Action::Timer { at, token } => self.at(at.max(self.now), What::Timer(p, token)),
+                Action::Timer { at, token } => {
+                    self.at(at.max(self.now), What::Timer(p, self.proxies[p].life, token))
+                }
                 Action::Subscribe => self.watch(p, members::Event::Begin),
                 _ => {}
             }
@@ -376,6 +369,11 @@
                 }
             }
         }
+        self.plan_wake(p);
+    }
+
+    /// Has the watch woken when it wants to be.
+    pub fn plan_wake(&mut self, p: usize) {
         let wakes = self.proxies[p].watch.wake_at().map(|at| at.max(self.now));
         if wakes != self.proxies[p].wakes {
             self.proxies[p].wakes = wakes;
@@ -392,9 +390,12 @@
             End::Whole(at, version) => (at, Ending::Whole(version)),
             End::Broken(at) => (at, Ending::Broken),
             End::TurnedAway(at) => (at, Ending::Failed),
-            End::Silent => return,
+            End::Silent(counts) => {
+                self.proxies[p].silent.get_or_insert(counts);
+                return;
+            }
         };
-        self.at(at, What::Call(p, id.0, ending));
+        self.at(at, What::Call(p, self.proxies[p].life, id.0, ending));
     }
 
     fn call_ends(&mut self, p: usize, id: CallId, ending: Ending) {
@@ -404,7 +405,7 @@
             Ending::Failed => return self.watch(p, members::Event::Failed(id, members::Failure::Answered)),
         };
         let seen = self.proxies[p].seen;
-        self.proxies[p].answered = Some(self.now);
+        (self.proxies[p].answered, self.proxies[p].silent) = (Some(self.now), None);
         if version > seen {
             let changes = self.discovery.changes[seen..version].to_vec();
             for (_, id, stage) in &changes {
@@ -425,9 +426,7 @@
         let (new, now) = (self.nodes.len() as u32, self.now);
         self.nodes.insert(new, Node::new(Some(now)));
         self.line.push_back(new);
-        self.discovery.changes.push((now, BackendId(new), Stage::Ready));
         if let Some(old) = self.line.pop_front() {
-            self.discovery.changes.push((now, BackendId(old), Stage::Draining));
             self.at(now + DRAINS, What::Gone(old));
         }
         if now + every < until {
