--- a/crates/emulate/src/restart.rs
+++ b/crates/emulate/src/restart.rs
@@ -4,12 +4,14 @@
 
 use decide::interface::*;
 use decide::Balancer;
-use members::{Hold, Policy, Watch};
+use members::{InitialList, LeaseTerms, Policy, Watch};
 
 use crate::node::FALL;
 use crate::world::{Proxy, What, World, AIM, DEADLINE, GRACE, MUST_ASK};
-use crate::{Fleet, MS};
+use crate::{Fleet, MS, S};
 
+/// A process whose list is not confirmed says that it is ready after this.
+const READY_UNCONFIRMED: Micros = 5 * S;
 /// The watch ends its sends this much before the grace is over.
 const MARGIN: Micros = 150 * MS;
 
@@ -35,12 +37,37 @@
     }
 }
 
-fn watch(seed: u64, _now: Micros) -> Watch {
-    let hold = Hold { grace: GRACE, margin: MARGIN, most: 4 * MUST_ASK, outage: MUST_ASK * 4 / 5 };
-    Watch::new(Policy { answers_each: true, hold: Some(hold) }, true, seed)
+fn watch(seed: u64, now: Micros) -> Watch {
+    let terms = LeaseTerms {
+        drain_grace: GRACE,
+        margin: MARGIN,
+        longest_stop: 4 * MUST_ASK,
+        believed_outage: MUST_ASK * 4 / 5,
+    };
+    let policy = Policy { answers_each: true, lease: Some(terms) };
+    Watch::new(policy, InitialList::Unconfirmed, now, seed)
 }
 
 impl Proxy {
+    /// A process that has been running for a while: discovery has just confirmed its list.
+    pub fn running(fleet: &Fleet, rank: usize) -> Proxy {
+        let mut proxy = Proxy::start(fleet, rank, 0, 0);
+        let mut actions = Vec::new();
+        proxy.watch.handle(0, members::Event::Wake, &mut actions);
+        for action in actions {
+            if let members::Action::Ask(id, _) = action {
+                proxy.watch.handle(0, members::Event::Answered(id, false), &mut Vec::new());
+            }
+        }
+        proxy.answered = Some(0);
+        proxy
+    }
+
+    /// May its callers use it? A process that has just started says so when its list is confirmed, or after a while.
+    fn is_ready(&self, now: Micros) -> bool {
+        self.started.is_some_and(|at| !self.watch.is_unconfirmed() || now >= at + READY_UNCONFIRMED)
+    }
+
     /// A process that starts now, for the n-th time, and knows nothing.
     pub fn start(fleet: &Fleet, rank: usize, life: u32, now: Micros) -> Proxy {
         let seed = fleet.seed.wrapping_mul(1_000_003).wrapping_add(rank as u64) ^ u64::from(life) << 48;
@@ -92,10 +119,13 @@
         self.begin(p);
     }
 
-    /// A proxy that is running, by chance.
-    pub fn any_running(&mut self) -> Option<usize> {
-        let running: Vec<usize> =
-            (0..self.proxies.len()).filter(|p| self.proxies[*p].started.is_some()).collect();
-        (!running.is_empty()).then(|| running[self.rng.usize(0..running.len())])
+    /// A proxy that is ready, by chance; one that is not, where none is.
+    pub fn any_ready(&mut self) -> Option<usize> {
+        let all = |is_in: &dyn Fn(&Proxy) -> bool| -> Vec<usize> {
+            (0..self.proxies.len()).filter(|p| is_in(&self.proxies[*p])).collect()
+        };
+        let ready = all(&|proxy| proxy.is_ready(self.now));
+        let candidates = if ready.is_empty() { all(&|proxy| proxy.started.is_some()) } else { ready };
+        (!candidates.is_empty()).then(|| candidates[self.rng.usize(0..candidates.len())])
     }
 }
--- a/crates/emulate/src/world.rs
+++ b/crates/emulate/src/world.rs
@@ -119,7 +119,7 @@
             line: nodes.keys().copied().collect(),
             nodes,
             discovery: Discovery::new(fleet),
-            proxies: (0..fleet.proxies).map(|rank| Proxy::start(fleet, rank, 0, 0)).collect(),
+            proxies: (0..fleet.proxies).map(|rank| Proxy::running(fleet, rank)).collect(),
             lost: 0.0,
             report: Report::default(),
         }
@@ -225,7 +225,7 @@
         self.report.tries += 1;
         self.numbers += 1;
         let id = self.numbers;
-        let Some(p) = self.any_running() else { return };
+        let Some(p) = self.any_ready() else { return };
         let asked = Asked { tries: asked.tries + 1, ..asked };
         let time_left = asked.first + DEADLINE - self.now;
         self.proxies[p].open.insert(id, Open { asked, attempts: Vec::new(), answered: false });
@@ -268,7 +268,7 @@
         let Some(open) = proxy.open.get_mut(&id) else { return };
         let (nth, work) = (open.attempts.len(), open.asked.work);
         open.attempts.push((to, Some(now)));
-        if proxy.watch.hold().is_some_and(|(from, end)| from <= now && now < end) {
+        if proxy.watch.expiry().is_some_and(|expiry| expiry.from <= now && now < expiry.until) {
             // The request is refused by whoever decides: nothing was sent.
             self.report.withheld += 1;
             return self.ends(p, id, nth, Outcome::Moot);
--- a/crates/emulate/tests/restart.rs
+++ b/crates/emulate/tests/restart.rs
@@ -37,3 +37,17 @@
         }
     }
 }
+#[test]
+fn a_process_restarted_into_a_crowd_does_not_take_it_for_an_outage() {
+    for seed in 1..=6 {
+        // Discovery comes back just before seven in ten start again, and everybody asks it.
+        let outage = Some((2 * S, 9 * S));
+        let restart = Some(Restart { at: 9 * S, share: 0.7, downtime: 1_500 * MS });
+        let fleet = Fleet { proxies: 300, outage, restart, all_calls: 5 * S, seed, ..Fleet::default() };
+        let report =
+            run(&Fleet { release: Some((9_500 * MS, 300 * MS, 20 * S)), length: 28 * S, nodes: 60, ..fleet });
+        show(&format!("a crowd, seed {seed}"), &report);
+        assert_eq!(report.late_sends, 0, "seed {seed}");
+        assert!(report.served > report.asked / 3, "seed {seed}: sends next to nothing");
+    }
+}
--- a/crates/members/src/watch.rs
+++ b/crates/members/src/watch.rs
@@ -1,79 +1,45 @@
-//! One proxy's watch of discovery: the calls that are out, what to do when one fails, breaks off or says nothing, and
-//! the moment after which the list that is held may no longer be sent by.
+//! One proxy's watch of discovery: when it is asked, the calls that are out, and what to do when one fails, breaks off or says
+//! nothing. For how long the list may be sent by meanwhile is the matter of its [lease](crate::lease).
 //!
-//! Two ways in which a call can go wrong must be told apart:
+//! Two ways in which a call can go wrong are told apart:
 //!
-//! - **It fails** in so many words: it is refused, reset, or answered with an error. Then nothing was told; but what
-//!   discovery had while it [could be reached](Failure) counts as told six seconds later all the same. The list is relied
-//!   on until then, and the watch asks again by itself, often enough to hear of it in time.
-//! - **Something may have been told that was not heard**: an answer broke off, cannot be read, or does not come
-//!   although the time that the call asked to wait is over. Then the proxy [owes](Watch::hold) the news from a known moment
-//!   on, whether it has them or not, and asks again by itself at once.
+//! - **It fails** in so many words: it is refused, reset, or answered with an error. Then nothing was notified; but what discovery
+//!   had while it [could be reached](Failure) counts as notified six seconds later all the same.
+//! - **Something may have been notified that was not heard**: an answer broke off, cannot be read, or does not come although the
+//!   time that the call asked to wait is over.
 //!
-//! Where nothing says in which time drains must be kept a failure ends the watch ([`Action::Ended`]), the list is relied on
-//! for as long as it takes, and asking again is for whoever began it.
+//! In both cases the watch asks again by itself. Where no terms bound the list a failure ends the watch ([`Action::Ended`]), and
+//! asking again is for whoever began it.
 
 use fastrand::Rng;
 
-/// Microseconds on a monotonic clock.
-pub type Micros = i64;
-
-const MS: Micros = 1_000;
-const S: Micros = 1_000 * MS;
+use crate::call::{Call, CallId};
+use crate::lease::{Expiry, Failure, InitialList, Lease, LeaseTerms};
+use crate::time::{Micros, MS, S};
 
 /// The waits that a watch asks for are drawn from here. Guards against a discovery that says nothing behind an open
 /// connection: until the call is given up nothing is known. Shorter costs discovery a call each time and proxy. Drawn
 /// over as long as a discovery takes at most to answer one call of every proxy, by the platform's page, so that
-/// proxies that started together, or were told of one change together, do not come back all at once.
+/// proxies that started together, or heard of one change together, do not come back all at once.
 const WAITS: std::ops::Range<Micros> = 2 * S..10 * S;
 /// What a call asks to wait that is to show whether anything was missed.
 const SHORT_WAIT: Micros = 250 * MS;
-/// An answer is late when it has not begun by this time after the wait that was asked for.
-const LATE: Micros = 250 * MS;
-/// Discovery takes calls in turn and turns away one that would wait for longer than this, by the platform's page.
-const IN_TURN: Micros = 2 * S;
-/// An error that comes sooner was not waited for.
-const AT_ONCE: Micros = 100 * MS;
-/// An answer that has begun is to be whole after this.
-const REST: Micros = S;
-/// Whatever discovery has to tell counts as told this long after the wait of a call is over, by the platform's page,
-/// whether it arrived or not.
-const TOLD: Micros = 2 * S;
-/// What discovery had, and could be reached for, counts as told this long after, whatever became of the calls for it.
-const TOLD_ANYHOW: Micros = 6 * S;
+/// What a call asks to wait that is to confirm the list of a process that has just started: none, as far as the wire allows.
+const CONFIRMING_WAIT: Micros = MS;
 /// An answer without news that comes sooner is not followed by the next call at once: guards against a discovery that
 /// does not wait. Far under the 200 ms within which the next call goes on with the same watch.
 const SHORTEST_WATCH: Micros = 100 * MS;
 /// A call that comes this soon after an answer goes on with the same watch, by the platform's page.
-const WATCH_KEPT: Micros = 200 * MS;
-/// Pause before a call that is to make up for one that was of no use, at most: for the first time, and then; it is drawn from
-/// the upper three quarters. Shorter ones swamp a discovery that comes back, and all hear of it later; with longer ones the next
-/// call may come after the time after which news count as told.
-const PAUSES: [Micros; 2] = [200 * MS, 2 * S];
-/// The moment of a first call where no list is known is drawn from this, and so are the pauses until there is one: guards
-/// against a fleet that starts as one.
+const WATCH_CONTINUES: Micros = 200 * MS;
+/// Pause before a retry, at most: for the first time, and then; it is drawn from the upper three quarters. Shorter ones swamp a
+/// discovery that comes back, and all hear of it later; with longer ones the next call may come after news count as notified.
+const RETRY_PAUSES: [Micros; 2] = [200 * MS, 2 * S];
+/// The first call of a process that has no list is drawn from this, and the pauses of one that was never answered are at most
+/// this: guards against a fleet that starts as one.
 const FIRST_CALL: Micros = S;
 /// Calls that are out at once: one that says nothing, and one beside it.
 const MOST_CALLS: usize = 2;
 
-/// Numbers the calls of one watch.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub struct CallId(pub u64);
-
-/// What is owed once something may have been told that was not heard.
-#[derive(Clone, Copy, Debug)]
-pub struct Hold {
-    /// From when it counts as told, sends must end within this.
-    pub grace: Micros,
-    /// They end this much sooner, for what is under way.
-    pub margin: Micros,
-    /// No longer than this: by then what drained has gone, and refuses by itself what is sent there.
-    pub most: Micros,
-    /// A discovery whose errors take their time is believed to be down for so long: from outside, one that is down and one
-    /// that has come back, and has too many callers, say the same.
-    pub outage: Micros,
-}
-
 /// How a watch behaves.
 #[derive(Clone, Copy, Debug)]
 pub struct Policy {
@@ -81,26 +47,13 @@
     /// proxy, one that says nothing has nothing to say.
     pub answers_each: bool,
     /// None: the list is relied on for as long as it takes.
-    pub hold: Option<Hold>,
-}
-
-/// How a call failed, and so what is known of whether discovery could be reached meanwhile.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Failure {
-    /// The kernel of its machine refused the connection: nobody could reach it at that moment.
-    Refused,
-    /// It answered with an error: it could be reached, and the connection stood until then.
-    Answered,
-    /// It took the connection, which then broke with no answer: it may have been silent before.
-    Cut,
-    /// No connection came about: it may be there for others, and for the next call.
-    Unreached,
+    pub lease: Option<LeaseTerms>,
 }
 
 /// What happened.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Event {
-    /// The list is to be watched.
+    /// The list is to be watched. A watch whose list has a lease begins by itself.
     Begin,
     /// Discovery is at another address: what is out is dropped, and the new one asked.
     Moved,
@@ -121,164 +74,107 @@
 pub enum Action {
     /// Ask for what is newer than the list that is held, and let discovery wait this long for news; 0: ask for all of it.
     Ask(CallId, Micros),
-    /// Close the connection of a call. Nothing of it is to be told any more.
+    /// Close the connection of a call. Nothing of it is to be reported any more.
     Drop(CallId),
     /// The watch has ended; it goes on with the next [`Event::Begin`].
     Ended,
 }
 
-struct Call {
-    id: CallId,
-    asked: Micros,
-    wait: Micros,
-    heard: Option<Micros>,
-    /// It has been found late, and another is to make up for it.
-    late: bool,
-    /// It goes on with the watch of the last answer, with no turn to wait for.
-    goes_on: bool,
-}
-
-impl Call {
-    fn due(&self) -> Micros {
-        self.heard.map_or(self.asked + self.wait.max(IN_TURN) + LATE, |heard| heard + REST)
-    }
-
-    /// When what it was to bring counts as told.
-    fn told(&self) -> Micros {
-        let silent = self.asked + if self.wait > 0 { self.wait + TOLD } else { TOLD_ANYHOW };
-        self.heard.map_or(silent, |heard| silent.min(heard + TOLD))
-    }
-
-    /// Is this the time after which discovery turns away a call that has not come to its turn?
-    fn was_in_turn(&self, now: Micros) -> bool {
-        (now - self.asked - IN_TURN).abs() <= LATE
-    }
-
-    /// Was it watching, as far as its time tells?
-    fn watched(&self, now: Micros) -> bool {
-        self.goes_on || now > self.asked + IN_TURN + LATE
-    }
-}
-
 /// The state of one proxy's watch.
 pub struct Watch {
     policy: Policy,
     rng: Rng,
-    last: u64,
-    on: bool,
-    /// There is a list that changes can be told to.
-    listed: bool,
-    /// There has never been one.
-    is_blank: bool,
+    last_id: u64,
+    is_on: bool,
+    /// There is a list that discovery can tell changes to.
+    has_version: bool,
+    lease: Lease,
     calls: Vec<Call>,
-    next: Option<Micros>,
-    /// From when on something counts as told that was not heard.
-    owed: Option<Micros>,
-    /// From when on whatever discovery has counts as told, since calls fail.
-    missed: Option<Micros>,
-    /// Discovery may have been reached by others since, and may have had something then.
-    was_there: bool,
-    /// Nobody could reach it last time.
-    was_refused: bool,
-    /// Since when it is believed to be down.
-    down: Option<Micros>,
-    /// When an answer came last.
-    answered: Option<Micros>,
-    /// Calls in a row that were to make up for others, and did not.
-    tries: usize,
+    next_call_at: Option<Micros>,
+    answered_at: Option<Micros>,
+    /// Retries in a row that brought nothing.
+    retries: usize,
 }
 
 impl Watch {
-    /// A watch that has not begun; is there a list already?
+    /// The watch of a process that starts now, with this list in hand.
     #[must_use]
-    pub fn new(policy: Policy, listed: bool, seed: u64) -> Watch {
-        let (rng, calls) = (Rng::with_seed(seed), Vec::new());
+    pub fn new(policy: Policy, list: InitialList, now: Micros, seed: u64) -> Watch {
+        let mut rng = Rng::with_seed(seed);
+        let has_version = list != InitialList::Absent;
+        // A list that proves no age is of use only once it is confirmed; without one nothing can be served at all.
+        let first_call_at = if has_version { now } else { now + rng.i64(0..FIRST_CALL) };
+        let is_on = policy.lease.is_some();
         Watch {
             policy,
             rng,
-            last: 0,
-            on: false,
-            listed,
-            is_blank: !listed,
-            calls,
-            next: None,
-            owed: None,
-            missed: None,
-            was_there: false,
-            was_refused: false,
-            down: None,
-            answered: None,
-            tries: 0,
+            last_id: 0,
+            is_on,
+            has_version,
+            lease: Lease::new(policy.lease, policy.answers_each, list, now),
+            calls: Vec::new(),
+            next_call_at: is_on.then_some(first_call_at),
+            answered_at: None,
+            retries: 0,
         }
     }
 
     /// The next moment at which it wants [`Event::Wake`].
     #[must_use]
     pub fn wake_at(&self) -> Option<Micros> {
-        let late = self.calls.iter().filter(|c| !c.late).map(Call::due);
-        late.chain(self.next).min()
+        let late = self.calls.iter().filter(|c| !c.is_late).map(Call::due_at);
+        late.chain(self.next_call_at).chain(self.silence_confirms_at()).min()
+    }
+
+    fn silence_confirms_at(&self) -> Option<Micros> {
+        self.calls.first().and_then(|call| self.lease.silence_confirms_at(call.asked_at))
+    }
+
+    /// The time in which nothing new may be sent to any endpoint, if there is one as things stand: from its begin until its
+    /// end, or until an answer has come.
+    #[must_use]
+    pub fn expiry(&self) -> Option<Expiry> {
+        self.lease.expiry(&self.calls)
     }
 
-    /// The time in which nothing new may be sent to any node, if there is one as things stand: from its begin until its
-    /// end, or until an answer has come. Earlier is kept where several calls went wrong.
+    /// Does the list that the process started with still wait for its first proof?
     #[must_use]
-    pub fn hold(&self) -> Option<(Micros, Micros)> {
-        let (hold, first) = (self.policy.hold?, self.owed()?);
-        let last = self.owed.max(self.missed).unwrap_or(first);
-        let begins = |owed: Micros| owed + hold.grace - hold.margin;
-        Some((begins(first), begins(last) + hold.most))
+    pub fn is_unconfirmed(&self) -> bool {
+        self.lease.is_unconfirmed()
     }
 
-    /// From when on anything counts as told that was not heard.
-    fn owed(&self) -> Option<Micros> {
-        self.owed.into_iter().chain(self.missed).min()
+    /// It has begun, and has not ended since.
+    #[must_use]
+    pub fn is_on(&self) -> bool {
+        self.is_on
     }
 
     /// Takes in one event and appends what to do about it.
     pub fn handle(&mut self, now: Micros, event: Event, out: &mut Vec<Action>) {
         match event {
-            Event::Begin if self.on => {}
-            Event::Begin if !self.listed && self.last == 0 => {
-                // Nothing can be served before its answer.
-                (self.on, self.next) = (true, Some(now + self.rng.i64(0..FIRST_CALL)));
-            }
-            Event::Begin => self.ask(now, out),
+            Event::Begin => self.begin(now, out),
             Event::Moved => {
                 // It may count its versions in its own way: only a whole list says where it is.
-                self.listed = false;
-                // The whole fleet moves with it: its first errors tell of a crowd, and of nothing that was there before.
-                self.down.get_or_insert(now);
+                self.has_version = false;
+                self.lease.move_address(now);
                 self.drop_all(out);
                 self.ask(now, out);
             }
             Event::Heard(id) => {
                 if let Some(call) = self.calls.iter_mut().find(|c| c.id == id) {
-                    call.heard.get_or_insert(now);
-                }
-            }
-            Event::Answered(id, news) => {
-                let Some(call) = self.take(id) else { return };
-                // An older call's answer would say again what this one has said, or less.
-                self.drop_all(out);
-                (self.listed, self.owed, self.missed, self.tries) = (true, None, None, 0);
-                (self.was_there, self.down, self.answered) = (false, None, Some(now));
-                (self.is_blank, self.was_refused) = (false, false);
-                let soonest = call.asked + if news { 0 } else { SHORTEST_WATCH };
-                if soonest <= now {
-                    self.ask(now, out);
-                } else {
-                    self.next = Some(soonest);
+                    call.answer_began_at.get_or_insert(now);
                 }
             }
+            Event::Answered(id, news) => self.answered(now, id, news, out),
             Event::Broke(id) => {
                 let Some(mut call) = self.take(id) else { return };
-                call.heard.get_or_insert(now);
-                self.owe(call.told());
-                self.make_up(now);
+                call.answer_began_at.get_or_insert(now);
+                self.lease.miss_answer(call.notified_at());
+                self.plan_retry(now);
             }
             Event::Failed(id, failure) => {
                 if let Some(call) = self.take(id) {
-                    self.miss(now, &call, failure);
+                    self.lease.fail(now, &call, failure);
                     self.failed(now, out);
                 }
             }
@@ -286,6 +182,34 @@
         }
     }
 
+    fn begin(&mut self, now: Micros, out: &mut Vec<Action>) {
+        if self.is_on {
+            return self.ask_if_due(now, out);
+        }
+        if !self.has_version && self.last_id == 0 {
+            // Nothing can be served before its answer.
+            self.is_on = true;
+            self.next_call_at = Some(now + self.rng.i64(0..FIRST_CALL));
+            return;
+        }
+        self.ask(now, out);
+    }
+
+    fn answered(&mut self, now: Micros, id: CallId, news: bool, out: &mut Vec<Action>) {
+        let Some(call) = self.take(id) else { return };
+        // An older call's answer would say again what this one has said, or less.
+        self.drop_all(out);
+        self.lease.confirm(now);
+        (self.has_version, self.retries) = (true, 0);
+        self.answered_at = Some(now);
+        let soonest = call.asked_at + if news { 0 } else { SHORTEST_WATCH };
+        if soonest <= now {
+            self.ask(now, out);
+        } else {
+            self.next_call_at = Some(soonest);
+        }
+    }
+
     fn take(&mut self, id: CallId) -> Option<Call> {
         let place = self.calls.iter().position(|c| c.id == id)?;
         Some(self.calls.remove(place))
@@ -293,134 +217,105 @@
 
     fn drop_all(&mut self, out: &mut Vec<Action>) {
         out.extend(self.calls.drain(..).map(|c| Action::Drop(c.id)));
-        self.next = None;
-    }
-
-    fn owe(&mut self, from: Micros) {
-        self.owed = Some(self.owed.map_or(from, |owed| owed.min(from)));
-    }
-
-    /// Takes note of a call that failed: what discovery had meanwhile counts as told some time, heard or not.
-    fn miss(&mut self, now: Micros, call: &Call, failure: Failure) {
-        let Some(hold) = self.policy.hold else { return };
-        if !self.policy.answers_each {
-            // What an agent has counts as told at once. One that nobody can reach has nothing.
-            match failure {
-                Failure::Answered | Failure::Cut => self.missed.get_or_insert(now),
-                Failure::Refused | Failure::Unreached => return self.missed = None,
-            };
-            return;
-        }
-        let was_up = self.down.is_none();
-        match failure {
-            Failure::Refused => self.down = None,
-            // It may be down: then calls are given up in their turn, with words or without, and watches end at any moment.
-            Failure::Answered | Failure::Cut if call.was_in_turn(now) => {
-                self.down.get_or_insert(call.asked);
-            }
-            Failure::Answered if now - call.asked >= AT_ONCE => {
-                self.down.get_or_insert(now);
-            }
-            _ => {}
-        }
-        let told = match (failure, self.down) {
-            (Failure::Refused, _) => now + TOLD_ANYHOW,
-            (_, Some(since)) => since + hold.outage + TOLD_ANYHOW,
-            // It may have been silent before it broke.
-            (Failure::Cut, None) if call.watched(now) => {
-                now.min(call.asked + (call.wait + TOLD - TOLD_ANYHOW).max(0)) + TOLD_ANYHOW
-            }
-            _ => call.asked + TOLD_ANYHOW,
-        };
-        // The time counts anew from when nobody could reach it, unless it was there in between; and where it may be down
-        // since then.
-        let goes_down = self.was_refused && was_up && self.down.is_some();
-        let anew = (failure == Failure::Refused || goes_down) && !self.was_there;
-        self.was_refused = failure == Failure::Refused;
-        self.missed = Some(self.missed.filter(|_| !anew).map_or(told, |missed| missed.min(told)));
-        self.was_there |= failure != Failure::Refused && self.down.is_none() && !call.watched(now);
+        self.next_call_at = None;
     }
 
     fn ask(&mut self, now: Micros, out: &mut Vec<Action>) {
         if self.calls.len() >= MOST_CALLS {
             out.push(Action::Drop(self.calls.remove(0).id));
         }
-        self.last += 1;
-        let id = CallId(self.last);
-        let wait = match (self.listed, self.owed()) {
-            (false, _) => 0,
-            (true, Some(_)) => SHORT_WAIT,
-            (true, None) => self.rng.i64(WAITS),
-        };
-        let goes_on = wait > 0 && self.answered.is_some_and(|at| now <= at + WATCH_KEPT);
-        self.calls.push(Call { id, asked: now, wait, heard: None, late: false, goes_on });
-        (self.on, self.next) = (true, None);
+        self.last_id += 1;
+        let id = CallId(self.last_id);
+        let wait = self.draw_wait();
+        let continues_watch = wait > 0 && self.answered_at.is_some_and(|at| now <= at + WATCH_CONTINUES);
+        self.calls.push(Call {
+            id,
+            asked_at: now,
+            wait,
+            answer_began_at: None,
+            is_late: false,
+            continues_watch,
+        });
+        (self.is_on, self.next_call_at) = (true, None);
         out.push(Action::Ask(id, wait));
     }
 
+    fn draw_wait(&mut self) -> Micros {
+        if !self.has_version {
+            0
+        } else if self.policy.answers_each && self.lease.is_unconfirmed() {
+            CONFIRMING_WAIT
+        } else if self.lease.is_in_doubt() {
+            SHORT_WAIT
+        } else {
+            self.rng.i64(WAITS)
+        }
+    }
+
     /// Another call is to bring what one did not; it waits for none that is still out in time.
-    fn make_up(&mut self, now: Micros) {
-        if self.next.is_some() || self.calls.iter().any(|c| !c.late) {
+    fn plan_retry(&mut self, now: Micros) {
+        if self.next_call_at.is_some() || self.calls.iter().any(|c| !c.is_late) {
             return;
         }
         // An agent beside the proxy bears any number of calls.
-        let most = match PAUSES[usize::from(self.tries > 0 && self.policy.answers_each)] {
+        let longest = match RETRY_PAUSES[usize::from(self.retries > 0 && self.policy.answers_each)] {
             // Nothing can be served before.
-            most if self.is_blank => most.min(FIRST_CALL),
-            most => most,
+            pause if !self.lease.is_confirmed() => pause.min(FIRST_CALL),
+            pause => pause,
         };
-        self.tries += 1;
-        self.next = Some(now + self.rng.i64(most / 4..=most));
+        self.retries += 1;
+        self.next_call_at = Some(now + self.rng.i64(longest / 4..=longest));
     }
 
     fn failed(&mut self, now: Micros, out: &mut Vec<Action>) {
-        let asks_again = self.policy.hold.is_some() && self.policy.answers_each;
-        if self.owed().is_some() || (asks_again && !self.listed) {
-            self.make_up(now);
+        let asks_by_itself = self.policy.lease.is_some() && self.policy.answers_each;
+        if self.lease.is_in_doubt() || (asks_by_itself && !self.has_version) {
+            self.plan_retry(now);
         } else if self.calls.is_empty() {
-            (self.on, self.next) = (false, None);
+            (self.is_on, self.next_call_at) = (false, None);
             out.push(Action::Ended);
         }
     }
 
     fn wake(&mut self, now: Micros, out: &mut Vec<Action>) {
+        if self.silence_confirms_at().is_some_and(|at| at <= now) {
+            self.lease.confirm(now);
+        }
         let mut place = 0;
         while let Some(call) = self.calls.get_mut(place) {
-            if call.late || call.due() > now {
+            if call.is_late || call.due_at() > now {
                 place += 1;
                 continue;
             }
-            let (told, begun) = (call.told(), call.heard.is_some());
+            let (notified, begun) = (call.notified_at(), call.answer_began_at.is_some());
             if self.policy.answers_each && !begun {
-                // It stays open beside the one that makes up for it: it may only be slow.
-                call.late = true;
+                // It stays open beside its retry: it may only be slow.
+                call.is_late = true;
                 place += 1;
-                let first = self.owed().is_none();
-                self.owe(told);
+                let first = !self.lease.is_in_doubt();
+                self.lease.miss_answer(notified);
                 if first {
-                    self.next = Some(now);
+                    self.next_call_at = Some(now);
                 } else {
-                    self.make_up(now);
+                    self.plan_retry(now);
                 }
                 continue;
             }
             let call = self.calls.remove(place);
             out.push(Action::Drop(call.id));
             if begun {
-                self.owe(told);
-                self.make_up(now);
+                self.lease.miss_answer(notified);
+                self.plan_retry(now);
             } else {
                 self.failed(now, out);
             }
         }
-        if self.next.is_some_and(|at| at <= now) {
-            self.ask(now, out);
-        }
+        self.ask_if_due(now, out);
     }
 
-    /// It has begun, and has not ended since.
-    #[must_use]
-    pub fn is_on(&self) -> bool {
-        self.on
+    fn ask_if_due(&mut self, now: Micros, out: &mut Vec<Action>) {
+        if self.next_call_at.is_some_and(|at| at <= now) {
+            self.ask(now, out);
+        }
     }
 }
--- a/crates/members/tests/told.rs
+++ b/crates/members/tests/told.rs
@@ -6,14 +6,15 @@
 use std::collections::{BTreeMap, VecDeque};
 
 use fastrand::Rng;
-use members::{Action, CallId, Event, Failure, Hold, Micros, Policy, Watch};
+use members::{Action, CallId, Event, Failure, InitialList, LeaseTerms, Micros, Policy, Watch};
 
 const MS: Micros = 1_000;
 const S: Micros = 1_000 * MS;
 const GRACE: Micros = 500 * MS;
-const HOLD: Hold = Hold { grace: GRACE, margin: 150 * MS, most: 40 * S, outage: 8 * S };
-const ASKED: Policy = Policy { answers_each: true, hold: Some(HOLD) };
-const PUSHED: Policy = Policy { answers_each: false, hold: Some(HOLD) };
+const TERMS: LeaseTerms =
+    LeaseTerms { drain_grace: GRACE, margin: 150 * MS, longest_stop: 40 * S, believed_outage: 8 * S };
+const ASKED: Policy = Policy { answers_each: true, lease: Some(TERMS) };
+const PUSHED: Policy = Policy { answers_each: false, lease: Some(TERMS) };
 /// What discovery had, and could be reached for, counts as told after this.
 const TOLD: Micros = 6 * S;
 /// Discovery lets nobody wait for his turn for longer.
@@ -71,14 +72,14 @@
 impl World {
     fn new(
         policy: Policy,
-        listed: bool,
+        list: InitialList,
         seed: u64,
         how: Down,
         down: Vec<(Micros, Micros)>,
         drain: Micros,
     ) -> World {
         World {
-            watch: Watch::new(policy, listed, seed),
+            watch: Watch::new(policy, list, 0, seed),
             rng: Rng::with_seed(seed ^ 0xd15c),
             now: 0,
             coming: BTreeMap::new(),
@@ -201,7 +202,7 @@
 
     /// Until then nothing changes but time.
     fn look(&mut self, to: Micros) {
-        let hold = self.watch.hold();
+        let hold = self.watch.expiry().map(|e| (e.from, e.until));
         if let Some((from, until)) = hold {
             self.held += (to.min(until) - self.now.max(from)).max(0);
         }
@@ -210,7 +211,8 @@
         }
         let from = self.now.max(self.told() + self.believed + GRACE);
         // What is held is held for so long and no longer: the note says why.
-        let to = to.min(hold.map_or(to, |(begin, end)| if end >= begin + HOLD.most { end } else { to }));
+        let to =
+            to.min(hold.map_or(to, |(begin, end)| if end >= begin + TERMS.longest_stop { end } else { to }));
         if from < to {
             assert!(
                 hold.is_some_and(|(begin, end)| begin <= from && to <= end),
@@ -235,7 +237,8 @@
                 let drain = from - S + (length + 10 * S) * step / 60;
                 for drain in [drain, to - 1, to, to + 1] {
                     let seed = step as u64 ^ (length as u64) << 8;
-                    let mut world = World::new(ASKED, true, seed, how, vec![(from, to)], drain);
+                    let mut world =
+                        World::new(ASKED, InitialList::Unconfirmed, seed, how, vec![(from, to)], drain);
                     world.play(90 * S, &mut |_, _, _| Up::Answers);
                     assert!(world.seen, "{how:?} {length} {drain}");
                 }
@@ -259,10 +262,11 @@
                 Box::new(|rng, _, _| if rng.usize(0..4) > 0 { way } else { Up::Answers }),
             ];
             for mut order in orders {
-                let mut world = World::new(ASKED, true, seed, Down::Refuses, Vec::new(), drain);
+                let mut world =
+                    World::new(ASKED, InitialList::Unconfirmed, seed, Down::Refuses, Vec::new(), drain);
                 if way == Up::TurnsAway {
                     // Nor can this be told from an outage; what that lets through is counted over a fleet below.
-                    world.believed = HOLD.outage;
+                    world.believed = TERMS.believed_outage;
                 }
                 world.play(120 * S, &mut order);
                 assert!(world.seen, "{way:?} {seed}");
@@ -286,7 +290,7 @@
         // A discovery that comes back after an error and turns callers away cannot be told from one that is still down: what
         // that lets through is counted over a fleet below.
         let part = if matches!(how, Down::Errors | Down::ErrorsAtOnce) { 0 } else { rng.usize(0..90) };
-        let mut world = World::new(ASKED, true, seed, how, down, drain);
+        let mut world = World::new(ASKED, InitialList::Unconfirmed, seed, how, down, drain);
         let ways = [Up::TurnsAwayAtOnce, Up::Closes, Up::Late(1_500 * MS), Up::BreaksOff];
         world.play(200 * S, &mut |rng, _, _| {
             if rng.usize(0..100) < part {
@@ -317,7 +321,14 @@
             (Down::ErrorsAtOnce, 8 * S, 9 * S),
             (Down::Closes, 300 * S, 40 * S),
         ] {
-            let mut world = World::new(ASKED, true, seed, how, vec![(20 * S, 20 * S + length)], 900 * S);
+            let mut world = World::new(
+                ASKED,
+                InitialList::Unconfirmed,
+                seed,
+                how,
+                vec![(20 * S, 20 * S + length)],
+                900 * S,
+            );
             world.play(400 * S, &mut |_, _, _| Up::Answers);
             helds.entry((format!("{how:?}"), length / S)).or_insert_with(Vec::new).push(world.held);
             assert!(world.held <= most, "{how:?} of {length}, seed {seed}: held for {}", world.held);
@@ -341,15 +352,16 @@
     for seed in 0..200 {
         for how in [Down::ErrorsAtOnce, Down::Closes] {
             let down = vec![(5 * S, 5 * S + 40 * MS * seed as Micros)];
-            let mut world = World::new(PUSHED, true, seed, how, down.clone(), 900 * S);
+            let mut world = World::new(PUSHED, InitialList::Unconfirmed, seed, how, down.clone(), 900 * S);
             world.play(30 * S, &mut |_, _, _| Up::Answers);
             let back = world.asked.iter().find(|at| **at >= down[0].1).expect("asked again");
             assert!(back - down[0].1 <= 205 * MS, "{how:?}: asked {} after its return", back - down[0].1);
-            let allowed = (down[0].1 - down[0].0 + 470 * MS - (GRACE - HOLD.margin)).max(0);
+            let allowed = (down[0].1 - down[0].0 + 470 * MS - (GRACE - TERMS.margin)).max(0);
             assert!(world.held <= allowed, "{how:?}: held for {} of {allowed}", world.held);
         }
         // One that is not there has nothing.
-        let mut world = World::new(PUSHED, true, seed, Down::Refuses, vec![(5 * S, 15 * S)], 900 * S);
+        let mut world =
+            World::new(PUSHED, InitialList::Unconfirmed, seed, Down::Refuses, vec![(5 * S, 15 * S)], 900 * S);
         world.play(30 * S, &mut |_, _, _| Up::Answers);
         assert_eq!(world.held, 0);
     }
@@ -359,7 +371,7 @@
 fn a_first_list_is_asked_for_at_once_and_again_within_two_seconds() {
     for seed in 0..200 {
         for how in DOWNS {
-            let mut world = World::new(ASKED, false, seed, how, vec![(0, 9 * S)], 900 * S);
+            let mut world = World::new(ASKED, InitialList::Absent, seed, how, vec![(0, 9 * S)], 900 * S);
             world.play(30 * S, &mut |_, _, _| Up::Answers);
             assert!(world.asked[0] <= S, "first at {}", world.asked[0]);
             let after = world.asked.iter().find(|at| **at >= 9 * S).expect("asked again");
@@ -397,7 +409,11 @@
         seed: u64,
     ) -> Fleet {
         Fleet {
-            watches: (0..proxies).map(|p| Watch::new(ASKED, true, seed * 1_000 + p as u64)).collect(),
+            watches: (0..proxies)
+                .map(|p| {
+                    Watch::new(ASKED, InitialList::Unconfirmed, start_of(p, starts), seed * 1_000 + p as u64)
+                })
+                .collect(),
             coming: BTreeMap::new(),
             numbers: 0,
             free: 0,
@@ -447,7 +463,7 @@
     fn play(&mut self, end: Micros) -> usize {
         let mut broken = 0;
         for proxy in 0..self.watches.len() {
-            self.at((proxy as Micros * 37 * MS) % self.starts, proxy, Event::Begin);
+            self.at(start_of(proxy, self.starts), proxy, Event::Begin);
         }
         let told =
             if (self.down.0..self.down.1).contains(&self.drain) { self.down.1 } else { self.drain } + TOLD;
@@ -462,7 +478,7 @@
                 Some(at) if at <= now => self.coming.pop_first().expect("there is one").1,
                 _ => (wake.expect("it is due").1, Event::Wake),
             };
-            let hold = self.watches[proxy].hold();
+            let hold = self.watches[proxy].expiry().map(|e| (e.from, e.until));
             let (mut held, from) = (0, last[proxy]);
             if let Some((begin, until)) = hold {
                 held = (now.min(until) - begin.max(from)).max(0);
@@ -492,6 +508,11 @@
     }
 }
 
+/// When a process of a fleet starts that starts within this time.
+fn start_of(proxy: usize, within: Micros) -> Micros {
+    (proxy as Micros * 37 * MS) % within
+}
+
 #[test]
 fn a_fleet_hears_of_a_drain_in_time_within_what_discovery_bears() {
     for proxies in [1_usize, 30, 350] {
@@ -555,7 +576,12 @@
         for seed in 0..20_u64 {
             let mut fleet = Fleet::new(100, S, 100 * MS, (0, back), 0, seed);
             fleet.each = S / a_second;
-            fleet.watches = (0..100).map(|p| Watch::new(ASKED, false, seed * 1_000 + p)).collect();
+            fleet.watches = (0..100_usize)
+                .map(|p| {
+                    let starts = start_of(p, 100 * MS);
+                    Watch::new(ASKED, InitialList::Absent, starts, seed * 1_000 + p as u64)
+                })
+                .collect();
             fleet.play(60 * S);
             let in_time = fleet.seen.iter().filter(|at| at.is_some_and(|at| at <= 10 * S)).count();
             (ready, least) = (ready + in_time, least.min(in_time));
--- a/crates/members/tests/watch.rs
+++ b/crates/members/tests/watch.rs
@@ -6,14 +6,15 @@
 use std::collections::BTreeMap;
 
 use fastrand::Rng;
-use members::{Action, CallId, Event, Failure, Hold, Micros, Policy, Watch};
+use members::{Action, CallId, Event, Expiry, Failure, InitialList, LeaseTerms, Micros, Policy, Watch};
 use proptest::prelude::*;
 
 const MS: Micros = 1_000;
 const S: Micros = 1_000 * MS;
 const GRACE: Micros = 500 * MS;
 const MARGIN: Micros = 150 * MS;
-const HOLD: Hold = Hold { grace: GRACE, margin: MARGIN, most: 40 * S, outage: 8 * S };
+const TERMS: LeaseTerms =
+    LeaseTerms { drain_grace: GRACE, margin: MARGIN, longest_stop: 40 * S, believed_outage: 8 * S };
 
 /// How a call ends.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -58,7 +59,7 @@
 impl World {
     fn new(policy: Policy, seed: u64, drain: Micros) -> World {
         World {
-            watch: Watch::new(policy, true, seed),
+            watch: running(policy, seed),
             now: 0,
             coming: BTreeMap::new(),
             numbers: 0,
@@ -178,10 +179,10 @@
         let Some(told) = self.told.filter(|_| self.seen == 0) else { return };
         let late = told + GRACE;
         // After that the list is relied on again, whatever comes: the note says why.
-        let last = self.unsure.map_or(Micros::MAX, |u| u + GRACE - MARGIN + HOLD.most - S / 2);
+        let last = self.unsure.map_or(Micros::MAX, |u| u + GRACE - MARGIN + TERMS.longest_stop - S / 2);
         let (from, to) = (from.max(late), to.min(last));
         if from < to {
-            let held = self.watch.hold();
+            let held = self.watch.expiry().map(|e| (e.from, e.until));
             assert!(
                 held.is_some_and(|(begin, end)| begin <= from && to <= end),
                 "sent to a draining node between {from} and {to}, told at {told}: {held:?}, calls {:?}",
@@ -191,8 +192,20 @@
     }
 }
 
+/// A watch whose list was confirmed a second before the play begins.
+fn running(policy: Policy, seed: u64) -> Watch {
+    let mut watch = Watch::new(policy, InitialList::Unconfirmed, -S, seed);
+    let mut actions = Vec::new();
+    watch.handle(-S, Event::Begin, &mut actions);
+    watch.handle(-S, Event::Wake, &mut actions);
+    if let Some(Action::Ask(id, _)) = actions.first() {
+        watch.handle(-S, Event::Answered(*id, false), &mut Vec::new());
+    }
+    watch
+}
+
 fn asked() -> Policy {
-    Policy { answers_each: true, hold: Some(HOLD) }
+    Policy { answers_each: true, lease: Some(TERMS) }
 }
 
 #[test]
@@ -254,7 +267,7 @@
                     Way::Whole
                 }
             });
-            held |= world.watch.hold().is_some();
+            held |= world.watch.expiry().is_none_or(|expiry| expiry.from <= world.now + 2 * S);
             let (again, wait) = world.asked[1];
             assert!(!held && again < world.told.expect("told"), "{first:?}, seed {seed}: again at {again}");
             assert!(wait <= 250 * MS, "a long wait would show late whether anything was missed");
@@ -269,34 +282,34 @@
     let mut rng = Rng::with_seed(7);
     world.play(120 * S, &mut rng, &mut |_, at| if at < 10 * S { Way::Whole } else { Way::Down });
     assert!(
-        world.watch.hold().is_none_or(|(from, _)| from > 122 * S),
+        world.watch.expiry().is_some_and(|expiry| expiry.from > 122 * S),
         "nothing was told: {:?}",
-        world.watch.hold()
+        world.watch.expiry()
     );
     let calls = world.asked.iter().filter(|(at, _)| *at > 20 * S).count();
     assert!((50..=200).contains(&calls), "it is asked all the time, and in no spin: {calls}");
     // Own installations: nothing says in which time drains must be kept.
     for way in [Way::Down, Way::TurnedAway] {
-        let mut world = World::new(Policy { answers_each: true, hold: None }, 7, 300 * S);
+        let mut world = World::new(Policy { answers_each: true, lease: None }, 7, 300 * S);
         world.play(120 * S, &mut rng, &mut |_, at| if at < 10 * S { Way::Whole } else { way });
-        assert!(world.watch.hold().is_none(), "{way:?}: the list is relied on");
+        assert!(world.watch.expiry().is_none(), "{way:?}: the list is relied on");
         assert!(world.ended.len() > 10, "{way:?}: asking again is up to the decisions");
     }
     // Lists that are pushed: an agent that says nothing has nothing to say.
-    let pushed = Policy { answers_each: false, hold: Some(HOLD) };
+    let pushed = Policy { answers_each: false, lease: Some(TERMS) };
     let mut world = World::new(pushed, 7, 300 * S);
     world.play(120 * S, &mut Rng::with_seed(7), &mut |_, _| Way::Silent);
-    assert!(world.watch.hold().is_none() && world.ended.len() > 10);
+    assert!(world.watch.expiry().is_none() && world.ended.len() > 10);
 }
 
 #[test]
 fn what_is_held_back_is_held_back_for_so_long_and_no_longer() {
     let mut world = World::new(asked(), 3, 2 * S);
     world.play(200 * S, &mut Rng::with_seed(3), &mut |_, _| Way::Breaks);
-    let (from, until) = world.watch.hold().expect("held");
+    let Expiry { from, until, .. } = world.watch.expiry().expect("held");
     let told = world.told.expect("told");
     assert!(
-        from <= told + GRACE - 100 * MS && until == from + HOLD.most,
+        from <= told + GRACE - 100 * MS && until == from + TERMS.longest_stop,
         "{from} to {until}, told at {told}"
     );
     // The calls that make up for it come seldom by then.
@@ -322,7 +335,7 @@
 
 #[test]
 fn another_discovery_is_asked_for_all_it_has_at_once() {
-    let mut watch = Watch::new(asked(), true, 1);
+    let mut watch = running(asked(), 1);
     let mut out = Vec::new();
     watch.handle(0, Event::Begin, &mut out);
     watch.handle(S, Event::Moved, &mut out);
@@ -332,7 +345,8 @@
     // Nothing that the old one still says counts.
     out.clear();
     watch.handle(S, Event::Broke(first), &mut out);
-    assert!(out.is_empty() && watch.hold().is_none());
+    let expiry = watch.expiry().expect("a list is never sent by without bound");
+    assert!(out.is_empty() && expiry.from >= S + 6 * S, "{expiry:?}");
     watch.handle(S, Event::Answered(second, true), &mut out);
     assert!(matches!(out[..], [Action::Ask(_, wait)] if wait >= 3 * S), "{out:?}");
 }
--- a/crates/proxy/src/backend/mod.rs
+++ b/crates/proxy/src/backend/mod.rs
@@ -19,6 +19,7 @@
 use hyper::header::{self, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
+use members::ExpiryCause;
 use prometheus_client::metrics::counter::Counter;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
@@ -62,6 +63,20 @@
     pub begun: Rc<Cell<bool>>,
 }
 
+/// The time in which the list is older than it may be.
+#[derive(Clone, Copy, Debug)]
+pub struct ListExpiry {
+    pub from: Instant,
+    pub until: Instant,
+    pub cause: ExpiryCause,
+}
+
+impl ListExpiry {
+    fn contains(&self, at: Instant) -> bool {
+        self.from <= at && at < self.until
+    }
+}
+
 pub struct Backends {
     transport: Transport,
     /// How its nodes speak JSON-RPC; None where they speak HTTP.
@@ -71,10 +86,10 @@
     retired: Cell<bool>,
     links: Rc<Cell<usize>>,
     all: RefCell<BTreeMap<BackendId, Backend>>,
-    /// From when until when nothing new is sent to any of them: the list is older than it may be.
-    held: Cell<Option<(Instant, Instant)>>,
-    /// A request has met that.
-    said_held: Cell<bool>,
+    /// When the list is older than it may be, and nothing new is sent to any of them.
+    list_expiry: Cell<Option<ListExpiry>>,
+    /// A request has met that, and it was logged.
+    logged_expiry: Cell<bool>,
     complained_of_links: Cell<bool>,
     complained_of_reports: Cell<bool>,
     /// Attempts that were written whole.
@@ -139,6 +154,15 @@
     }
 }
 
+/// The cause in words for operators.
+fn explain(cause: ExpiryCause) -> &'static str {
+    match cause {
+        ExpiryCause::Unconfirmed => "discovery has not confirmed the list that this process started with",
+        ExpiryCause::CallsFailed => "calls to discovery failed, and it may have told others of a drain",
+        ExpiryCause::AnswerMissing => "discovery may have told of a drain that was not heard",
+    }
+}
+
 impl Backends {
     pub fn new(transport: Transport, most_links: usize) -> Backends {
         Backends {
@@ -148,8 +172,8 @@
             retired: Cell::new(false),
             links: Rc::default(),
             all: RefCell::default(),
-            held: Cell::new(None),
-            said_held: Cell::new(false),
+            list_expiry: Cell::new(None),
+            logged_expiry: Cell::new(false),
             complained_of_links: Cell::new(false),
             complained_of_reports: Cell::new(false),
             tries: Counter::default(),
@@ -360,25 +384,26 @@
     }
 
     /// From when until when nothing new may be sent to any backend, as the list is older than it may be.
-    pub fn hold(&self, held: Option<(Instant, Instant)>) {
-        self.held.set(held);
-        if held.is_none() && self.said_held.replace(false) {
+    pub fn set_list_expiry(&self, expiry: Option<ListExpiry>) {
+        self.list_expiry.set(expiry);
+        let has_passed = expiry.is_none_or(|expiry| Instant::now() < expiry.from);
+        if has_passed && self.logged_expiry.replace(false) {
             say(format_args!("sending again: the list is up to date"));
         }
     }
 
-    fn is_held(&self) -> bool {
+    fn is_list_expired(&self) -> bool {
         let now = Instant::now();
-        let held = self.held.get().is_some_and(|(from, until)| from <= now && now < until);
-        if held && !self.said_held.replace(true) {
-            say(format_args!("sending nothing: discovery may have told of a drain that was not heard"));
+        let Some(expiry) = self.list_expiry.get().filter(|expiry| expiry.contains(now)) else { return false };
+        if !self.logged_expiry.replace(true) {
+            say(format_args!("sending nothing: {}", explain(expiry.cause)));
         }
-        held
+        true
     }
 
     /// May something still be sent there?
     fn may_write(&self, id: BackendId) -> bool {
-        if self.is_held() {
+        if self.is_list_expired() {
             return false;
         }
         let grace = self.drain_grace();
@@ -430,7 +455,7 @@
     async fn exchange(self: &Rc<Self>, order: &Order) -> (Ended, Option<Link>) {
         loop {
             // A connection costs the backend work.
-            if self.is_held() || order.client.has_left() {
+            if self.is_list_expired() || order.client.has_left() {
                 return (Outcome::Moot.into(), None);
             }
             let idle = self.idle(order.backend);
--- a/crates/proxy/src/membership/discovery.rs
+++ b/crates/proxy/src/membership/discovery.rs
@@ -16,12 +16,13 @@
 use hyper::header::{HeaderValue, HOST};
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
-use members::{Action, CallId, Event, Failure, Policy, Watch};
+use members::{Action, CallId, Event, Failure, InitialList, Policy, Watch};
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, watch, Notify};
 use tokio::task::{AbortHandle, JoinSet};
-use tokio::time::{sleep, sleep_until, timeout};
+use tokio::time::{sleep, sleep_until, timeout, Instant};
 
+use crate::backend::ListExpiry;
 use crate::guard::caught;
 use crate::log::say;
 use crate::membership::Roster;
@@ -32,6 +33,9 @@
 const CONNECT: Duration = Duration::from_secs(4);
 /// Pause before asking again where lists are pushed and the decisions do not ask.
 const PUSHED_PAUSE: Duration = Duration::from_millis(250);
+/// A process whose list discovery does not confirm says that it is ready after this, so that callers who have nobody else
+/// are refused at once instead of finding nobody. Well within the ten seconds that a restart may take.
+const READY_UNCONFIRMED: Duration = Duration::from_secs(5);
 /// The largest list that is read, in bytes.
 const MOST_LIST: usize = 8 << 20;
 
@@ -115,17 +119,23 @@
     /// Hands over the list as last known, then watches whenever that is asked for. That a watch has ended is told; asking
     /// again is up to the decisions.
     pub async fn run(mut self, known: Option<ToldList>) {
-        let listed = known.is_some();
-        if let Some(list) = known {
-            self.roster.hear(list, ListScope::Cached);
-        } else {
-            self.roster.handle.backends(ListScope::Cached, Vec::new());
-        }
-        let mut watch = Watch::new(self.policy, listed, self.seed);
+        let initial = match known {
+            Some(list) => {
+                self.roster.hear(list, ListScope::Cached);
+                InitialList::Unconfirmed
+            }
+            None => {
+                self.roster.handle.backends(ListScope::Cached, Vec::new());
+                InitialList::Absent
+            }
+        };
+        let mut watch = Watch::new(self.policy, initial, self.roster.clock.now(), self.seed);
+        let ready_at = Instant::now() + READY_UNCONFIRMED;
         let (told, mut tells) = mpsc::unbounded_channel();
         let mut calls = Calls { tasks: JoinSet::new(), handles: BTreeMap::new(), told, spare: None };
         let (clock, mut address) = (self.roster.clock, self.address.clone());
         loop {
+            self.apply_lease(&watch, initial, ready_at);
             let asked = async {
                 match &self.subscribe {
                     _ if watch.is_on() => pending().await,
@@ -152,6 +162,7 @@
                 }
                 () = asked => Event::Begin,
                 () = wake => Event::Wake,
+                () = sleep_until(ready_at), if !self.roster.ready.get() && watch.is_unconfirmed() => Event::Wake,
             };
             let mut actions = Vec::new();
             watch.handle(clock.now(), event, &mut actions);
@@ -162,8 +173,21 @@
                     Action::Ended => self.roster.handle.backends(ListScope::Failed, Vec::new()),
                 }
             }
-            let held = watch.hold().map(|(from, until)| (clock.instant(from), clock.instant(until)));
-            self.roster.backends.hold(held);
+        }
+    }
+
+    /// Passes on until when the list may be sent by. A process that started with a list says that it is ready once that is
+    /// confirmed, or waiting for it has been long enough.
+    fn apply_lease(&self, watch: &Watch, initial: InitialList, ready_at: Instant) {
+        let clock = self.roster.clock;
+        self.roster.backends.set_list_expiry(watch.expiry().map(|expiry| ListExpiry {
+            from: clock.instant(expiry.from),
+            until: clock.instant(expiry.until),
+            cause: expiry.cause,
+        }));
+        let has_list = initial != InitialList::Absent;
+        if has_list && (!watch.is_unconfirmed() || Instant::now() >= ready_at) {
+            self.roster.ready.set(true);
         }
     }
 
--- a/crates/proxy/src/membership/roster.rs
+++ b/crates/proxy/src/membership/roster.rs
@@ -233,7 +233,10 @@
         });
         drop(taken);
         self.handle.backends(scope, entries);
-        self.ready.set(true);
+        // One that came with the configuration is not known to be true yet.
+        if scope != ListScope::Cached {
+            self.ready.set(true);
+        }
         self.known.lists.set(self.known.lists.get() + 1);
         self.known.catch_up(self.clock, &self.names.borrow(), &self.handle);
     }
--- a/crates/proxy/src/platform.rs
+++ b/crates/proxy/src/platform.rs
@@ -11,7 +11,7 @@
 use config::{parse_told, sockets_cut, Told};
 use decide::interface::Micros;
 use decide::settings::{self, Site};
-use members::{Hold, Policy, Refused};
+use members::{LeaseTerms, Policy, Refused};
 use serde::Deserialize;
 use serde_json::value::RawValue;
 use tokio::net::TcpListener;
@@ -173,17 +173,16 @@
     }
 }
 
-/// How discovery is watched, and what is owed when it tells something that is not heard: by the settings, drains are
-/// kept within a time. Four times that in which discovery must be asked is what they allow to a list after a failed call. An
+/// How discovery is watched, and what bounds the use of a list: by the settings, drains are kept within a time. Four times that in which discovery must be asked is what they allow to a list after a failed call. An
 /// outage is believed in for four fifths of it: the longest that the operators name is eight seconds.
 fn watch_policy(site: &Site) -> Policy {
-    let hold = Hold {
-        grace: site.transport.drain_grace,
+    let terms = LeaseTerms {
+        drain_grace: site.transport.drain_grace,
         margin: DRAIN_MARGIN.as_micros() as Micros,
-        most: site.settings.must_ask_in.max(MUST_ASK_IN) * 4,
-        outage: site.settings.must_ask_in.max(MUST_ASK_IN) * 4 / 5,
+        longest_stop: site.settings.must_ask_in.max(MUST_ASK_IN) * 4,
+        believed_outage: site.settings.must_ask_in.max(MUST_ASK_IN) * 4 / 5,
     };
-    Policy { answers_each: site.settings.ask_discovery, hold: Some(hold) }
+    Policy { answers_each: site.settings.ask_discovery, lease: Some(terms) }
 }
 
 /// Runs until SIGTERM or SIGINT, and then until all that was taken has its answer.
--- a/crates/proxy/src/pool.rs
+++ b/crates/proxy/src/pool.rs
@@ -156,7 +156,7 @@
                 // Another address is another source, and so another pool.
                 let (moves, address) = watch::channel(*address);
                 // Nothing says in which time drains must be kept, so the list is relied on while discovery is away.
-                let policy = Policy { answers_each: true, hold: None };
+                let policy = Policy { answers_each: true, lease: None };
                 let subscribe = Some(subscribe);
                 let discovery = Discovery { address, roster, subscribe, policy, seed, complained: false };
                 tasks.push(spawn_local(async move {
--- a/crates/testkit/src/discovery.rs
+++ b/crates/testkit/src/discovery.rs
@@ -88,7 +88,23 @@
     made: Vec<(String, Instant)>,
 }
 
-/// Answers each call with the next news, as soon as there are any.
+impl Calls {
+    fn has_nothing_to_say(&self) -> bool {
+        self.news.is_empty() && self.meanwhile.is_none()
+    }
+}
+
+fn ok(body: &str) -> String {
+    format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len())
+}
+
+/// The version after which a call asks for news that it does not wait for, as a process does that has just started.
+fn confirms(path: &str) -> Option<u64> {
+    path.strip_prefix("/v1/servers?after=")?.strip_suffix("&wait_ms=1")?.parse().ok()
+}
+
+/// Answers each call with the next news, as soon as there are any. A call that does not wait is told that there are none, and
+/// does not count.
 pub struct Discovery {
     pub address: SocketAddr,
     calls: Arc<(Mutex<Calls>, Condvar)>,
@@ -109,16 +125,22 @@
                         let path = call.line.split(' ').nth(1).expect("a path").to_owned();
                         let (lock, changed) = &*shared;
                         let mut calls = lock.lock().expect("unpoisoned");
+                        if let Some(version) = confirms(&path).filter(|_| calls.has_nothing_to_say()) {
+                            let text = ok(&list(version, false, &[]));
+                            drop(calls);
+                            if stream.write_all(text.as_bytes()).is_err() {
+                                return;
+                            }
+                            continue;
+                        }
                         calls.made.push((path, Instant::now()));
                         changed.notify_all();
-                        let idle = |c: &mut Calls| c.news.is_empty() && c.meanwhile.is_none();
-                        let mut calls = changed.wait_while(calls, idle).expect("unpoisoned");
+                        let mut calls =
+                            changed.wait_while(calls, |c| c.has_nothing_to_say()).expect("unpoisoned");
                         let news = calls.news.pop_front().or_else(|| calls.meanwhile.clone());
                         let text = match news.expect("just seen") {
                             News::Closes => return,
-                            News::List(body) => {
-                                format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len())
-                            }
+                            News::List(body) => ok(&body),
                             News::Breaks(body) => {
                                 let half = &body[..body.len() / 2];
                                 let head =
--- a/tests/stale_list.rs
+++ b/tests/stale_list.rs
@@ -75,3 +75,24 @@
         play.join().expect("as said");
     }
 }
+#[test]
+fn a_list_that_discovery_does_not_confirm_is_not_sent_by() {
+    for way in [News::Fails, News::Closes] {
+        let (address, seen) = noting_backend();
+        let discovery = Discovery::new();
+        discovery.meanwhile(Some(way.clone()));
+        let hosts = vec![host("s-0", address, "SERVING")];
+        let proxy = start_config(&fleet_config(hosts.clone(), discovery.address, 7));
+        let started = Instant::now();
+        ask_for(&proxy, PLAYED);
+        let late = seen.lock().expect("unpoisoned").iter().filter(|at| **at > started + GRACE).count();
+        assert_eq!(late, 0, "{way:?}: sent by a list that nothing proves");
+        // Its word that nothing has changed is enough.
+        discovery.meanwhile(None);
+        discovery.tell(News::List(list(1, false, &[])));
+        let until = Instant::now() + PATIENCE;
+        while proxy.caller().ask(&read("after", 9_000)).status() != 200 {
+            assert!(Instant::now() < until, "{way:?}: does not go on");
+        }
+    }
+}
--- a/tests/stubs/mod.rs
+++ b/tests/stubs/mod.rs
@@ -77,7 +77,8 @@
         )
     }
 
-    /// Starts a proxy with a discovery that says nothing.
+    /// Starts a proxy with a discovery that confirms its list and says nothing more, and waits until it is ready, as who shares
+    /// out callers does.
     #[track_caller]
     pub fn start(self) -> Proxy {
         self.start_program(env!("CARGO_BIN_EXE_amberlever"))
@@ -90,7 +91,9 @@
         let config = self.config(discovery.address);
         let path = kept(&config);
         let child = run_with(program, Some(&path), self.descriptors);
-        Proxy { discovery, process: Process::watch(child, path) }
+        let process = Process::watch(child, path);
+        process.wait_until_ready();
+        Proxy { discovery, process }
     }
 }
 
@@ -251,7 +254,21 @@
         command.args(["-c", "exec \"$0\" 3<&0 </dev/null", env!("CARGO_BIN_EXE_amberlever")]);
         command.env("LB_CONFIG", &path).env("LB_PASSED_SOCKET", "3").env("TMPDIR", &self.folder);
         command.stdin(Stdio::from(held)).stdout(Stdio::null()).stderr(Stdio::piped());
-        Process::watch(command.spawn().expect("the proxy starts"), path)
+        let process = Process::watch(command.spawn().expect("the proxy starts"), path);
+        if config.contains("\"mgmt\"") {
+            wait_for("ready for operators", || process.call("GET", "/status", "").0 == 200);
+        }
+        process
+    }
+}
+
+/// Waits until this holds.
+#[track_caller]
+pub fn wait_for(what: &str, holds: impl Fn() -> bool) {
+    let since = Instant::now();
+    while !holds() {
+        assert!(since.elapsed() < PATIENCE, "not {what}");
+        thread::sleep(Duration::from_millis(5));
     }
 }
 
@@ -315,6 +332,12 @@
         self.caller().ask(request)
     }
 
+    /// Waits until it says that callers may come.
+    #[track_caller]
+    pub fn wait_until_ready(&self) {
+        wait_for("ready", || self.ask("GET /healthz HTTP/1.1\r\nHost: n0\r\n\r\n").status() == 200);
+    }
+
     /// Waits until the log says this.
     #[track_caller]
     pub fn says(&self, words: &str) {
--- a/tests/told.rs
+++ b/tests/told.rs
@@ -57,9 +57,11 @@
         thread::spawn(move || {
             let (address, seen) = noting();
             let proxy = setup(address).start();
+            proxy.discovery.call(0);
+            proxy.discovery.tell(News::List(list(1, false, &[])));
             proxy.discovery.meanwhile(Some(way.clone()));
             // From then on a drain may be in the list that is not given out.
-            let (_, asked) = proxy.discovery.call(0);
+            let (_, asked) = proxy.discovery.call(1);
             let served = ask_until(&proxy, asked + TOLD + GRACE + Duration::from_secs(2));
             let last = *seen.lock().expect("unpoisoned").last().expect("some were sent");
             assert!(last < asked + TOLD + GRACE, "{way:?}: sent {:?} after the call", last - asked);
