--- a/crates/members/src/call.rs
+++ b/crates/members/src/call.rs
@@ -7,6 +7,8 @@
 pub(crate) const LATE: Micros = 250 * MS;
 /// Discovery takes calls in turn and turns away one that would wait for longer than this, by the platform's page.
 pub(crate) const QUEUE_LIMIT: Micros = 2 * S;
+/// A call that ends this long after it was made was turned away at the limit.
+const TURNED_AWAY: std::ops::Range<Micros> = QUEUE_LIMIT - 20 * MS..QUEUE_LIMIT + 150 * MS;
 /// An answer that has begun is to be whole after this.
 const BODY_LIMIT: Micros = S;
 
@@ -40,9 +42,9 @@
         self.answer_began_at.map_or(without_answer, |began| without_answer.min(began + NOTIFIED_AFTER_WAIT))
     }
 
-    /// Is this the time after which discovery turns away a call that has not come to its turn?
+    /// Is this the time at which discovery turns away a call that has not come to its turn?
     pub fn is_at_queue_limit(&self, now: Micros) -> bool {
-        (now - self.asked_at - QUEUE_LIMIT).abs() <= LATE
+        TURNED_AWAY.contains(&(now - self.asked_at))
     }
 
     /// Was it watching, as far as its time tells?
--- a/crates/members/src/lease.rs
+++ b/crates/members/src/lease.rs
@@ -21,7 +21,7 @@
 pub(crate) const NOTIFIED_AFTER_WAIT: Micros = 2 * S;
 /// What discovery had, and could be reached for, counts as notified this long after, whatever became of the calls for it.
 pub(crate) const NOTIFIED_ANYHOW: Micros = 6 * S;
-/// An error that comes sooner was not waited for.
+/// A watch that ends with an error sooner was never taken up.
 const AT_ONCE: Micros = 100 * MS;
 /// An agent beside the proxy that has news answers well within this.
 const AGENT_ANSWERS: Micros = 250 * MS;
@@ -93,7 +93,7 @@
     Unconfirmed { since: Micros },
     /// Nothing has proven it, and nobody could reach discovery when it was asked.
     Unreachable,
-    /// Discovery answered then.
+    /// By an answer of discovery, or a watch that stood, it was true then.
     Confirmed { at: Micros },
 }
 
@@ -120,6 +120,8 @@
     answer_missing_from: Option<Micros>,
     /// From when on whatever discovery has counts as notified, since calls fail.
     calls_failed_from: Option<Micros>,
+    /// The longest stop is counted from here at the earliest.
+    stop_counts_from: Option<Micros>,
     /// Discovery may have been reached by others since the calls began to fail, and may have had something then.
     others_reached_it: bool,
     outage: Outage,
@@ -137,6 +139,7 @@
             proof,
             answer_missing_from: None,
             calls_failed_from: None,
+            stop_counts_from: None,
             others_reached_it: false,
             outage: Outage::None,
         }
@@ -176,7 +179,7 @@
         ];
         let bounds = causes.into_iter().filter_map(|(from, cause)| Some((from?, cause)));
         let (first, cause) = bounds.min_by_key(|(from, _)| *from)?;
-        let last = self.answer_missing_from.max(self.calls_failed_from).unwrap_or(first).max(first);
+        let last = self.answer_missing_from.max(self.stop_counts_from).unwrap_or(first).max(first);
         let stops_at = |notified: Micros| notified + terms.drain_grace - terms.margin;
         Some(Expiry { from: stops_at(first), until: stops_at(last) + terms.longest_stop, cause })
     }
@@ -195,7 +198,7 @@
     /// An answer has come whole.
     pub fn confirm(&mut self, now: Micros) {
         self.proof = Proof::Confirmed { at: now };
-        (self.answer_missing_from, self.calls_failed_from) = (None, None);
+        (self.answer_missing_from, self.calls_failed_from, self.stop_counts_from) = (None, None, None);
         (self.others_reached_it, self.outage) = (false, Outage::None);
     }
 
@@ -244,15 +247,14 @@
     fn fail_service(&mut self, now: Micros, call: &Call, failure: Failure, terms: LeaseTerms) {
         let before = self.outage;
         self.outage = self.outage_after(now, call, failure);
+        let proven_until = self.proven_until(now, call, failure);
+        if let Proof::Confirmed { at } = &mut self.proof {
+            *at = proven_until.max(*at);
+        }
         let from = match (failure, self.outage) {
             (Failure::Refused, _) => now + NOTIFIED_ANYHOW,
             (_, Outage::Believed { since }) => since + terms.believed_outage + NOTIFIED_ANYHOW,
-            // It may have been silent before it broke.
-            (Failure::Cut, _) if call.was_watching(now) => {
-                let silent_from = call.asked_at + (call.wait + NOTIFIED_AFTER_WAIT - NOTIFIED_ANYHOW).max(0);
-                now.min(silent_from) + NOTIFIED_ANYHOW
-            }
-            _ => call.asked_at + NOTIFIED_ANYHOW,
+            _ => proven_until + NOTIFIED_ANYHOW,
         };
         let is_believed = matches!(self.outage, Outage::Believed { .. });
         // The time counts anew from when nobody could reach it, unless others did in between; and where it may be down since.
@@ -260,24 +262,39 @@
         let counts_anew = (failure == Failure::Refused || went_down) && !self.others_reached_it;
         let earlier = self.calls_failed_from.filter(|_| !counts_anew);
         self.calls_failed_from = Some(earlier.map_or(from, |earlier| earlier.min(from)));
+        // A gap before the call makes sends stop sooner, and go on no sooner.
+        let gap = (call.asked_at - proven_until).max(0);
+        self.stop_counts_from = self.stop_counts_from.filter(|_| !counts_anew).or(Some(from + gap));
         self.others_reached_it |= failure != Failure::Refused && !is_believed && !call.was_watching(now);
     }
 
-    /// What is believed of discovery after a failure.
+    /// Up to when the list was proven, where a call brought nothing.
+    fn proven_until(&self, now: Micros, call: &Call, failure: Failure) -> Micros {
+        // What nobody could reach had nothing to say.
+        if failure == Failure::Refused {
+            return now;
+        }
+        // It may have been silent before it broke.
+        if failure == Failure::Cut && call.was_watching(now) {
+            let silent_from = call.asked_at + (call.wait + NOTIFIED_AFTER_WAIT - NOTIFIED_ANYHOW).max(0);
+            return now.min(silent_from);
+        }
+        match self.proof {
+            Proof::Confirmed { at } if !call.continues_watch => at.min(call.asked_at),
+            _ => call.asked_at,
+        }
+    }
+
+    /// What is believed of discovery after a failure. Only who was watching can tell an outage from a crowd: a crowd ends no watch,
+    /// and both turn away calls that wait for their turn.
     fn outage_after(&self, now: Micros, call: &Call, failure: Failure) -> Outage {
-        let believed = |since: Micros| match self.outage {
-            Outage::Believed { .. } => self.outage,
-            // A process that has never heard from it cannot tell an outage from a crowd: it has no watch that either ended.
-            _ if !self.is_confirmed() => Outage::None,
-            _ => Outage::Believed { since },
-        };
-        match failure {
-            Failure::Refused => Outage::Refused,
-            // While it is down calls are given up in their turn, with words or without, and watches end at any moment.
-            Failure::Answered | Failure::Cut if call.is_at_queue_limit(now) => believed(call.asked_at),
-            Failure::Answered if now - call.asked_at >= AT_ONCE => believed(now),
-            _ if self.outage == Outage::Refused => Outage::None,
-            _ => self.outage,
+        let is_too_soon = now - call.asked_at < AT_ONCE;
+        let ended_watch = call.was_watching(now) && !is_too_soon && !call.is_at_queue_limit(now);
+        match (failure, self.outage) {
+            (Failure::Refused, _) => Outage::Refused,
+            (_, Outage::Believed { since }) => Outage::Believed { since },
+            (Failure::Answered, _) if ended_watch => Outage::Believed { since: now },
+            _ => Outage::None,
         }
     }
 }
