Who is turned away and may not send anyway backs off, so that discovery answers more

Change: after an error of discovery a process whose list is expired or unconfirmed waits for 1 to 4 s, and one whose lease still runs for as long as leaves a turn of two seconds within it. One that believes in an outage asks as often as before: its end may be at any moment, and two calls have to fit into six seconds then. Pauses of up to 8 s there were tried and let drains through in the tests of members (an outage of one second, errors at once).

Result: tests of members and emulate green.

--- a/crates/members/src/lease.rs
+++ b/crates/members/src/lease.rs
@@ -155,6 +155,11 @@
         matches!(self.proof, Proof::Unconfirmed { .. })
     }
 
+    /// Is discovery believed to be down?
+    pub fn is_outage_believed(&self) -> bool {
+        matches!(self.outage, Outage::Believed { .. })
+    }
+
     /// Is an answer missing, or did calls fail?
     pub fn is_in_doubt(&self) -> bool {
         self.in_doubt_from().is_some()
--- a/crates/members/src/watch.rs
+++ b/crates/members/src/watch.rs
@@ -13,7 +13,7 @@
 
 use fastrand::Rng;
 
-use crate::call::{Call, CallId};
+use crate::call::{Call, CallId, LATE, QUEUE_LIMIT};
 use crate::lease::{Expiry, Failure, InitialList, Lease, LeaseTerms};
 use crate::time::{Micros, MS, S};
 
@@ -34,6 +34,11 @@
 /// Pause before a retry, at most: for the first time, and then; it is drawn from the upper three quarters. Shorter ones swamp a
 /// discovery that comes back, and all hear of it later; with longer ones the next call may come after news count as notified.
 const RETRY_PAUSES: [Micros; 2] = [200 * MS, 2 * S];
+/// Pause before a retry, at most, where discovery turned the call away: the fleet's calls together are more than it can answer, and
+/// each that it turns away costs it work. Shorter ones let it answer ever fewer. The retry is in time for the lease all the same.
+const BACKOFF: Micros = 8 * S;
+/// The same where nothing may be sent meanwhile.
+const BACKOFF_EXPIRED: Micros = 4 * S;
 /// The first call of a process that has no list is drawn from this, and the pauses of one that was never answered are at most
 /// this: guards against a fleet that starts as one.
 const FIRST_CALL: Micros = S;
@@ -94,6 +99,8 @@
     answered_at: Option<Micros>,
     /// Retries in a row that brought nothing.
     retries: usize,
+    /// The last call that failed was answered with an error.
+    was_turned_away: bool,
 }
 
 impl Watch {
@@ -116,6 +123,7 @@
             next_call_at: is_on.then_some(first_call_at),
             answered_at: None,
             retries: 0,
+            was_turned_away: false,
         }
     }
 
@@ -175,6 +183,7 @@
             Event::Failed(id, failure) => {
                 if let Some(call) = self.take(id) {
                     self.lease.fail(now, &call, failure);
+                    self.was_turned_away = failure == Failure::Answered;
                     self.failed(now, out);
                 }
             }
@@ -200,7 +209,7 @@
         // An older call's answer would say again what this one has said, or less.
         self.drop_all(out);
         self.lease.confirm(now);
-        (self.has_version, self.retries) = (true, 0);
+        (self.has_version, self.retries, self.was_turned_away) = (true, 0, false);
         self.answered_at = Some(now);
         let soonest = call.asked_at + if news { 0 } else { call.wait.min(SHORTEST_WATCH) };
         if soonest <= now {
@@ -257,16 +266,34 @@
         if self.next_call_at.is_some() || self.calls.iter().any(|c| !c.is_late) {
             return;
         }
-        // An agent beside the proxy bears any number of calls.
-        let longest = match RETRY_PAUSES[usize::from(self.retries > 0 && self.policy.answers_each)] {
-            // Nothing can be served before.
-            pause if !self.lease.is_confirmed() => pause.min(FIRST_CALL),
-            pause => pause,
-        };
+        let longest = self.longest_pause(now);
         self.retries += 1;
         self.next_call_at = Some(now + self.rng.i64(longest / 4..=longest));
     }
 
+    /// Before a retry, by what became of the last call.
+    fn longest_pause(&self, now: Micros) -> Micros {
+        // An agent beside the proxy bears any number of calls.
+        if !self.policy.answers_each {
+            return RETRY_PAUSES[0];
+        }
+        let usual = RETRY_PAUSES[usize::from(self.retries > 0)];
+        if !self.lease.is_confirmed() && !self.has_version {
+            return usual.min(FIRST_CALL);
+        }
+        // The end of an outage may be at any moment, and the calls after it have to be in time.
+        if !self.was_turned_away || self.lease.is_outage_believed() {
+            return usual;
+        }
+        match self.expiry() {
+            Some(expiry) if now < expiry.from => {
+                let in_time = expiry.from - now - QUEUE_LIMIT - LATE;
+                in_time.clamp(RETRY_PAUSES[0], BACKOFF)
+            }
+            _ => BACKOFF_EXPIRED,
+        }
+    }
+
     fn failed(&mut self, now: Micros, out: &mut Vec<Action>) {
         let asks_by_itself = self.policy.lease.is_some() && self.policy.answers_each;
         if self.lease.is_in_doubt() || (asks_by_itself && !self.has_version) {
