A retry near the end of the lease waits as long as any other

Cause: the suite on the last state failed in nothing_is_sent_by_a_list_that_calls_in_vain_cannot_vouch_for (24 calls of discovery, 20 at most): Watch::longest_pause fitted the pause into what is left of the lease, down to 0.2 s, so that a process asked ever more often as its lease ran out.

Change: the pause is never drawn from less than the usual 2 s (0.2 s for the first retry).

--- a/crates/members/src/watch.rs
+++ b/crates/members/src/watch.rs
@@ -288,7 +288,7 @@
         match self.expiry() {
             Some(expiry) if now < expiry.from => {
                 let in_time = expiry.from - now - QUEUE_LIMIT - LATE;
-                in_time.clamp(RETRY_PAUSES[0], BACKOFF)
+                in_time.clamp(usual, BACKOFF)
             }
             _ => BACKOFF_EXPIRED,
         }
