Read again: one noting backend for the tests, the outage is decided once for each failure

Need: the change of the incident read as a whole. tests/stale_list.rs had a copy of the backend of tests/told.rs that notes when requests came, the rig had two loops that wait for something, and Lease::fail_service asked twice whether discovery goes down in this moment.

Change: noting_backend is in the rig, says waits by wait_for, outage_after takes what was found. A doc comment that ran to 170 columns is broken into lines. No behaviour, bound or assertion changes.

--- a/crates/emulate/tests/restart.rs
+++ b/crates/emulate/tests/restart.rs
@@ -37,6 +37,7 @@
         }
     }
 }
+
 #[test]
 fn a_process_restarted_into_a_crowd_does_not_take_it_for_an_outage() {
     for seed in 1..=6 {
--- a/crates/members/src/lease.rs
+++ b/crates/members/src/lease.rs
@@ -109,6 +109,10 @@
     },
 }
 
+fn ends_at_once(now: Micros, call: &Call) -> bool {
+    now - call.asked_at < AT_ONCE
+}
+
 /// The state of the lease on one list.
 pub(crate) struct Lease {
     terms: Option<LeaseTerms>,
@@ -215,7 +219,7 @@
     /// Discovery is at another address. The whole fleet moves with it: its first errors tell of a crowd, and of nothing that was
     /// there before.
     pub fn move_address(&mut self, now: Micros) {
-        if self.is_confirmed() && !matches!(self.outage, Outage::Believed { .. }) {
+        if self.is_confirmed() && !self.is_outage_believed() {
             self.outage = Outage::Believed { since: now };
         }
     }
@@ -252,7 +256,7 @@
     fn fail_service(&mut self, now: Micros, call: &Call, failure: Failure, terms: LeaseTerms) {
         let before = self.outage;
         let goes_down = self.goes_down(now, call, failure);
-        self.outage = self.outage_after(now, call, failure);
+        self.outage = self.outage_after(now, call, failure, goes_down);
         let proven_until = self.proven_until(now, call, failure);
         if let Proof::Confirmed { at } = &mut self.proof {
             *at = proven_until.max(*at);
@@ -262,7 +266,7 @@
             (_, Outage::Believed { since }) => since + terms.believed_outage + NOTIFIED_ANYHOW,
             _ => proven_until + NOTIFIED_ANYHOW,
         };
-        let is_believed = matches!(self.outage, Outage::Believed { .. });
+        let is_believed = self.is_outage_believed();
         // The time counts anew from when nobody could reach it, unless others did in between; and where it may be down since.
         let went_down = before == Outage::Refused && is_believed;
         let is_anew = (failure == Failure::Refused || went_down) && !self.others_reached_it;
@@ -297,15 +301,14 @@
     /// A crowd turns away calls that wait for their turn, at once or at the limit, and ends no watch. So it is a watch that ends
     /// with an error, or an error at any other moment, that says that discovery went down. A process that was never answered
     /// believes in no outage: what it holds proves nothing, whatever discovery does.
-    fn outage_after(&self, now: Micros, call: &Call, failure: Failure) -> Outage {
-        let is_at_once = now - call.asked_at < AT_ONCE;
+    fn outage_after(&self, now: Micros, call: &Call, failure: Failure, goes_down: bool) -> Outage {
         let is_at_limit = call.is_at_queue_limit(now);
         let may_be_crowd = is_at_limit && !call.continues_watch;
         match (failure, self.outage) {
             (Failure::Refused, _) => Outage::Refused,
-            _ if self.goes_down(now, call, failure) => Outage::Believed { since: now },
+            _ if goes_down => Outage::Believed { since: now },
             (_, Outage::Believed { since }) => Outage::Believed { since },
-            (Failure::Answered, _) if self.is_confirmed() && !is_at_once && !may_be_crowd => {
+            (Failure::Answered, _) if self.is_confirmed() && !ends_at_once(now, call) && !may_be_crowd => {
                 // One that is down gives calls up at the limit of their turn, and was so when they were made.
                 Outage::Believed { since: if is_at_limit { call.asked_at } else { now } }
             }
@@ -316,7 +319,7 @@
     /// Does a call end with an error at a moment at which no crowd ends one? Discovery went down in that moment, then, and what it
     /// had before counts anew, unless that counts as notified by now.
     fn goes_down(&self, now: Micros, call: &Call, failure: Failure) -> bool {
-        let is_crowded = now - call.asked_at < AT_ONCE || call.is_at_queue_limit(now);
+        let is_crowded = ends_at_once(now, call) || call.is_at_queue_limit(now);
         let Proof::Confirmed { at } = self.proof else { return false };
         failure == Failure::Answered && !is_crowded && now < at + NOTIFIED_ANYHOW
     }
--- a/crates/proxy/src/platform.rs
+++ b/crates/proxy/src/platform.rs
@@ -173,8 +173,9 @@
     }
 }
 
-/// How discovery is watched, and what bounds the use of a list: by the settings, drains are kept within a time. Four times that in which discovery must be asked is what they allow to a list after a failed call. An
-/// outage is believed in for four fifths of it: the longest that the operators name is eight seconds.
+/// How discovery is watched, and what bounds the use of a list: by the settings, drains are kept within a time. Four
+/// times that in which discovery must be asked is what they allow to a list after a failed call. An outage is believed
+/// in for four fifths of it: the longest that the operators name is eight seconds.
 fn watch_policy(site: &Site) -> Policy {
     let terms = LeaseTerms {
         drain_grace: site.transport.drain_grace,
--- a/tests/stale_list.rs
+++ b/tests/stale_list.rs
@@ -3,9 +3,7 @@
 
 mod stubs;
 
-use std::io::{BufReader, Write};
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -16,22 +14,6 @@
 /// So long requests come.
 const PLAYED: Duration = Duration::from_secs(4);
 
-/// A backend that notes when each request came.
-fn noting_backend() -> (SocketAddr, Arc<Mutex<Vec<Instant>>>) {
-    let seen = Arc::<Mutex<Vec<Instant>>>::default();
-    let noted = Arc::clone(&seen);
-    let address = raw_backend(move |mut stream| {
-        let mut reader = BufReader::new(stream.try_clone().expect("a copy"));
-        while hear(&mut reader).is_some() {
-            noted.lock().expect("unpoisoned").push(Instant::now());
-            if stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok").is_err() {
-                return;
-            }
-        }
-    });
-    (address, seen)
-}
-
 /// The configuration of one proxy of a large fleet, whose decisions take their time over the first question.
 fn fleet_config(hosts: Vec<String>, discovery: SocketAddr, seed: u64) -> String {
     let mut setup = Setup::of(&[]);
--- a/tests/stubs/mod.rs
+++ b/tests/stubs/mod.rs
@@ -1,7 +1,7 @@
 //! The proxy under test as a process on the loopback addresses, among the stand-ins of `testkit`.
 #![allow(dead_code)]
 
-use std::io::{BufRead, BufReader};
+use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
@@ -231,6 +231,22 @@
     address
 }
 
+/// A backend that notes when each request came.
+pub fn noting_backend() -> (SocketAddr, Arc<Mutex<Vec<Instant>>>) {
+    let seen = Arc::<Mutex<Vec<Instant>>>::default();
+    let noted = Arc::clone(&seen);
+    let address = raw_backend(move |mut stream| {
+        let mut reader = BufReader::new(stream.try_clone().expect("a copy"));
+        while hear(&mut reader).is_some() {
+            noted.lock().expect("unpoisoned").push(Instant::now());
+            if stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok").is_err() {
+                return;
+            }
+        }
+    });
+    (address, seen)
+}
+
 /// A listening socket that is held for proxies, and a folder that they share.
 pub struct Held {
     listener: std::net::TcpListener,
@@ -341,11 +357,7 @@
     /// Waits until the log says this.
     #[track_caller]
     pub fn says(&self, words: &str) {
-        let since = Instant::now();
-        while !self.log().contains(words) {
-            assert!(since.elapsed() < PATIENCE, "not said: {words}");
-            thread::sleep(Duration::from_millis(5));
-        }
+        wait_for(&format!("said: {words}"), || self.log().contains(words));
     }
 
     pub fn log(&self) -> String {
--- a/tests/told.rs
+++ b/tests/told.rs
@@ -4,7 +4,6 @@
 mod stubs;
 
 use std::io::{BufReader, Write};
-use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -14,22 +13,6 @@
 const GRACE: Duration = Duration::from_millis(500);
 const TOLD: Duration = Duration::from_secs(6);
 
-/// A backend that notes when each request came.
-fn noting() -> (std::net::SocketAddr, Arc<Mutex<Vec<Instant>>>) {
-    let seen = Arc::<Mutex<Vec<Instant>>>::default();
-    let noted = Arc::clone(&seen);
-    let address = raw_backend(move |mut stream| {
-        let mut reader = BufReader::new(stream.try_clone().expect("a copy"));
-        while hear(&mut reader).is_some() {
-            noted.lock().expect("unpoisoned").push(Instant::now());
-            if stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok").is_err() {
-                return;
-            }
-        }
-    });
-    (address, seen)
-}
-
 /// Asks all the time, on one connection after the other, until the time is up; gives when each answer was a 200.
 fn ask_until(proxy: &Process, until: Instant) -> Vec<Instant> {
     let mut served = Vec::new();
@@ -55,7 +38,7 @@
 fn nothing_is_sent_by_a_list_that_calls_in_vain_cannot_vouch_for() {
     let cases = [News::Fails, News::Closes].map(|way| {
         thread::spawn(move || {
-            let (address, seen) = noting();
+            let (address, seen) = noting_backend();
             let proxy = setup(address).start();
             proxy.discovery.call(0);
             proxy.discovery.tell(News::List(list(1, false, &[])));
@@ -88,8 +71,8 @@
 
 #[test]
 fn a_drain_is_heard_of_in_time_where_each_second_call_is_refused() {
-    let (address, seen) = noting();
-    let (other, others) = noting();
+    let (address, seen) = noting_backend();
+    let (other, others) = noting_backend();
     let mut setup = setup(address);
     setup.hosts.push(host("s-1", other, "SERVING"));
     let proxy = setup.start();
@@ -111,9 +94,9 @@
 
 #[test]
 fn an_outage_that_the_kernel_vouches_for_stops_nothing_and_its_end_is_heard_of_in_time() {
-    let (address, seen) = noting();
+    let (address, seen) = noting_backend();
     let closed = Closed::new();
-    let (other, _others) = noting();
+    let (other, _others) = noting_backend();
     let mut setup = setup(address);
     setup.hosts.push(host("s-1", other, "SERVING"));
     let config = setup.config(closed.address());
@@ -143,7 +126,7 @@
 
 #[test]
 fn a_process_without_a_list_asks_until_it_has_one_and_is_ready_then() {
-    let (address, _) = noting();
+    let (address, _) = noting_backend();
     let mut setup = setup(address);
     setup.hosts.clear();
     let discovery = Discovery::new();
