--- a/review/common/standin.py
+++ b/review/common/standin.py
@@ -367,11 +367,9 @@
 
 
 class Proxy:
-    """One proxy, started as the deploy file says. With `listener` it inherits the platform's listening socket as
-    descriptor 3, and `temporary` is the folder that it shares with its successor.
-    """
+    """One proxy, started as the deploy file says."""
 
-    def __init__(self, record, folder, name, config, listener=None, temporary=None):
+    def __init__(self, record, folder, name, config):
         with open(os.path.join(ROOT, "deploy", "balancer.toml"), "rb") as file:
             self.command = tomllib.load(file)["run"]
         self.record = record
@@ -380,8 +378,6 @@
         self.config = config
         self.path = os.path.join(folder, f"{name}.json")
         self.port = int(config["listen"].rsplit(":", 1)[1])
-        self.listener = listener
-        self.temporary = temporary
         self.process = None
         self.write_config()
 
@@ -391,19 +387,11 @@
         os.replace(self.path + ".new", self.path)
 
     def start(self):
-        temporary = self.temporary or tempfile.mkdtemp(dir=self.folder)
+        temporary = tempfile.mkdtemp(dir=self.folder)
         environment = dict(os.environ, LB_NAME=self.config["name"], LB_LISTEN=self.config["listen"],
                            LB_DISCOVERY=self.config["discovery"], LB_CONFIG=self.path, TMPDIR=temporary)
-        command, kept = self.command, ()
-        if self.listener:
-            environment["LB_PASSED_SOCKET"] = "3"
-            descriptor = self.listener.fileno()
-            command = f"exec 3<&{descriptor}; {command}" if descriptor != 3 else command
-            kept = (descriptor,)
-        if "mgmt" in self.config:
-            environment["LB_MGMT"] = self.config["mgmt"]
         log = open(os.path.join(self.folder, f"{self.name}.log"), "a", encoding="utf-8")
-        self.process = subprocess.Popen(["/bin/sh", "-c", command], cwd=ROOT, env=environment, pass_fds=kept,
+        self.process = subprocess.Popen(["/bin/sh", "-c", self.command], cwd=ROOT, env=environment,
                                         stdin=subprocess.DEVNULL, stdout=log, stderr=log)
         log.close()
         return self.record.say(f"proxy {self.name}: started")
@@ -435,18 +423,6 @@
             await asyncio.sleep(0.02)
         raise CouldNotRun("the proxy was not ready in time")
 
-    async def says_yes(self):
-        """Whether `GET /status` on the operators' address is answered with 2xx within a second."""
-        host, port = self.config["mgmt"].rsplit(":", 1)
-        try:
-            reader, writer = await asyncio.open_connection(host, int(port))
-            writer.write(b"GET /status HTTP/1.1\r\nHost: proxy\r\nConnection: close\r\n\r\n")
-            line = await asyncio.wait_for(reader.readline(), 1)
-            writer.close()
-            return b" 2" in line
-        except (OSError, asyncio.TimeoutError):
-            return False
-
     def stop(self):
         if self.process and self.process.poll() is None:
             self.process.kill()
