Review: a script that is ended from outside ends what it started

Cause: a script that got SIGTERM in a play left its proxy and backends running (11 to 13 processes over three trials) and did not exit with 2. Change: SIGTERM and SIGINT cancel the play, which then cleans up and exits with 2; each child ends with the script, however that ends; a play has 90 s.

--- a/review/common/standin.py
+++ b/review/common/standin.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import ctypes
 import json
 import os
 import secrets
@@ -19,6 +20,14 @@
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
+LONGEST_PLAY_S = 90
+PR_SET_PDEATHSIG = 1
+LIBC = ctypes.CDLL(None, use_errno=True)
+
+
+def end_with_the_script():
+    """Called in a child before its program starts: the kernel ends it when the script ends, however that does."""
+    LIBC.prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
 
 
 class CouldNotRun(Exception):
@@ -174,7 +183,7 @@
         arguments = {"name": name, "port": self.port, "work_s": work_s, "report": report, "record": self.path,
                      "started": record.started}
         self.process = subprocess.Popen([sys.executable, "-B", program, json.dumps(arguments)],
-                                        stdin=subprocess.DEVNULL)
+                                        stdin=subprocess.DEVNULL, preexec_fn=end_with_the_script)
 
     async def start(self):
         for _ in range(200):
@@ -392,7 +401,8 @@
                            LB_DISCOVERY=self.config["discovery"], LB_CONFIG=self.path, TMPDIR=temporary)
         log = open(os.path.join(self.folder, f"{self.name}.log"), "a", encoding="utf-8")
         self.process = subprocess.Popen(["/bin/sh", "-c", self.command], cwd=ROOT, env=environment,
-                                        stdin=subprocess.DEVNULL, stdout=log, stderr=log)
+                                        stdin=subprocess.DEVNULL, stdout=log, stderr=log,
+                                        preexec_fn=end_with_the_script)
         log.close()
         return self.record.say(f"proxy {self.name}: started")
 
@@ -433,6 +443,15 @@
             return file.read()
 
 
+async def within_limits(case, record, folder, trouble):
+    """Plays the case. SIGTERM and SIGINT cancel it like the limit on its time, so that it still cleans up."""
+    play_task = asyncio.ensure_future(case(record, folder, trouble))
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, play_task.cancel)
+    return await asyncio.wait_for(play_task, LONGEST_PLAY_S)
+
+
 def play(case, folder_of_case):
     """Runs `case(record, folder, trouble)`, which returns whether the rule held, and exits as the issue says."""
     record = Record(os.path.join(folder_of_case, "record.txt"))
@@ -440,10 +459,11 @@
     folder = tempfile.mkdtemp(prefix="review-")
     record.say(f"TROUBLE={int(trouble)}")
     try:
-        held = asyncio.run(asyncio.wait_for(case(record, folder, trouble), 110))
+        held = asyncio.run(within_limits(case, record, folder, trouble))
         record.say("the rule held" if held else "THE RULE WAS BROKEN")
         code = HELD if held else BROKEN
-    except Exception as error:  # whatever stops a case, it says nothing of the rule
+    # Whatever stops a case, it says nothing of the rule.
+    except (Exception, asyncio.CancelledError, KeyboardInterrupt) as error:
         record.say(f"the case could not run: {error!r}")
         code = COULD_NOT_RUN
     finally:
