--- a/review/1/run.py
+++ b/review/1/run.py
@@ -24,7 +24,7 @@
 # "Answers and bodies of up to 32 MB occur". The buffers of the kernel between the proxy and the backend, and
 # between the client and the proxy, hold a few megabytes each; the proxy stops reading when the first are full.
 SIZES = [*range(4_550_000, 5_050_000, 50_000), 5_200_000, 5_800_000, 6_500_000, 8_000_000]
-UPLOADS = 40
+UPLOADS = 80
 AT_ONCE = 10  # "When a Saturday round ends, tables across the country report results"
 
 CLASSES = [
