The time of an upload starts when its last byte arrives, whatever its endpoint reads

Cause: the client's time started when the proxy had read the last byte. When the endpoint takes nothing, flow control stops the reading, so the time never started; the other limits add the time that the body may take, minutes.

Evidence: at the code before, uploads that fit the send buffer towards the endpoint are answered after 1.25 to 1.30 s, larger ones never, with either framing and in both modes.

Change: a pure state (`body::client_wait`) takes the last byte as arrived when the bytes read and those in the kernel's receive buffer make up the message; while the endpoint takes nothing of a part at hand, the client waits from the last part it took. Unsent bytes towards the endpoint are limited (TCP_NOTSENT_LOWAT), so that accepted means taken. The same wrong time cut off an answer of unknown length to such a request after 10.1 s instead of 2 s; it uses the new one.

Tests, red before: `an_upload_to_an_endpoint_that_stops_reading_is_answered_in_time` (5 and 6 MiB never answered) and `an_endless_response_to_a_large_request_is_cut_off_at_the_deadline` (10.1 s).

--- a/crates/proxy/src/body/mod.rs
+++ b/crates/proxy/src/body/mod.rs
@@ -6,6 +6,7 @@
 //! response body of unknown length is limited once the deadline of its request has passed.
 
 mod buffering;
+mod client_wait;
 mod streaming;
 
 use std::pin::Pin;
@@ -17,7 +18,7 @@
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 
 pub use buffering::{buffer, BufferOutcome};
-pub use streaming::StreamingBody;
+pub use streaming::{ArrivalProbe, StreamingBody};
 
 /// The largest body that is streamed in the platform mode, in bytes.
 pub const MAX_STREAMED_BODY_BYTES: u64 = config::MAX_BODY_BYTES;
--- a/crates/proxy/src/body/streaming.rs
+++ b/crates/proxy/src/body/streaming.rs
@@ -13,17 +13,30 @@
 
 use bytes::Bytes;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
-use tokio::sync::Notify;
 use tokio::task::spawn_local;
 use tokio::time::{sleep_until, timeout_at, Instant, Sleep};
 
+use super::client_wait::{ClientWait, TransferState};
 use super::{
     max_transfer_time, BodyError, MAX_BODY_WITHIN_DEADLINE_BYTES, MIN_BYTES_PER_SECOND, STALL_TIMEOUT,
 };
 
+/// The interval at which it is checked whether the last byte of a request has arrived.
+const ARRIVAL_CHECK_INTERVAL: Duration = Duration::from_millis(20);
+
 /// A callback that is called when a body is complete, and dropped without a call if the body ends early.
 type CompletionCallback = Box<dyn FnOnce()>;
 
+/// Reports whether the last byte of a request is on this machine, read or not.
+pub struct ArrivalProbe(Box<dyn Fn() -> bool>);
+
+impl ArrivalProbe {
+    /// Creates a probe that calls `has_arrived`.
+    pub fn new(has_arrived: impl Fn() -> bool + 'static) -> ArrivalProbe {
+        ArrivalProbe(Box::new(has_arrived))
+    }
+}
+
 /// A body that is forwarded while it arrives.
 pub struct StreamingBody {
     /// The body of the incoming message; `None` once the rest of it is being discarded.
@@ -38,10 +51,14 @@
     /// The deadline of the request; `None` except for a response of unknown length.
     request_deadline: Option<Instant>,
     sender_wait: Cell<SenderWait>,
+    /// When the reader last took a part of the body, or the creation of the body before that.
+    last_taken_at: Cell<Instant>,
+    /// `None` for a response.
+    arrival_probe: Option<ArrivalProbe>,
+    client_wait: Cell<ClientWait>,
     stall_timer: RefCell<Pin<Box<Sleep>>>,
     is_read_started: Cell<bool>,
     completed_at: Cell<Option<Instant>>,
-    completed: Notify,
     on_complete: RefCell<Vec<CompletionCallback>>,
     /// Whether the body is read to its end even if its reader is dropped.
     is_drained_on_drop: bool,
@@ -80,11 +97,17 @@
 impl StreamingBody {
     /// Creates the body of a request of at most `max_bytes`, of which `prefix` has been read. It is read to
     /// its end even if its reader is dropped.
-    pub fn for_request(rest: Incoming, prefix: Bytes, max_bytes: u64) -> StreamingBody {
+    pub fn for_request(
+        rest: Incoming,
+        prefix: Bytes,
+        max_bytes: u64,
+        arrival_probe: ArrivalProbe,
+    ) -> StreamingBody {
         let max_time = max_transfer_time(rest.size_hint().exact().unwrap_or(max_bytes));
         let mut body = StreamingBody::new(rest, prefix, max_bytes);
         body.transfer_deadline = Some(Instant::now() + max_time);
         body.is_drained_on_drop = true;
+        body.arrival_probe = Some(arrival_probe);
         body
     }
 
@@ -106,6 +129,7 @@
         let rest_bytes = rest.size_hint().exact();
         let size =
             rest_bytes.map_or_else(SizeHint::default, |bytes| SizeHint::with_exact(bytes + prefix_bytes));
+        let now = Instant::now();
         StreamingBody {
             incoming: RefCell::new(Some(rest)),
             prefix: Cell::new(Some(prefix).filter(|prefix| !prefix.is_empty())),
@@ -115,10 +139,12 @@
             transfer_deadline: None,
             request_deadline: None,
             sender_wait: Cell::default(),
-            stall_timer: RefCell::new(Box::pin(sleep_until(Instant::now() + STALL_TIMEOUT))),
+            last_taken_at: Cell::new(now),
+            arrival_probe: None,
+            client_wait: Cell::new(ClientWait::new(now)),
+            stall_timer: RefCell::new(Box::pin(sleep_until(now + STALL_TIMEOUT))),
             is_read_started: Cell::new(false),
             completed_at: Cell::new(None),
-            completed: Notify::new(),
             on_complete: RefCell::default(),
             is_drained_on_drop: false,
         }
@@ -139,14 +165,43 @@
         self.size
     }
 
-    /// Waits until the last byte has been read, and returns the time of that.
-    pub async fn wait_complete(&self) -> Instant {
+    /// Whether the body is incomplete and the sender has to send more of it before the reader can continue.
+    pub fn is_awaiting_sender(&self) -> bool {
+        self.completed_at.get().is_none() && self.sender_wait.get().since.is_some()
+    }
+
+    /// Waits until the client that sends this body has waited for its response for `timeout`. See
+    /// [`ClientWait`] for when its wait begins.
+    pub async fn client_timed_out(&self, timeout: Duration) {
         loop {
-            let completed = self.completed.notified();
-            match self.completed_at.get() {
-                Some(at) => return at,
-                None => completed.await,
+            let now = Instant::now();
+            let expires_at = self.client_waits_since(now).map(|since| since + timeout);
+            if expires_at.is_some_and(|expires_at| expires_at <= now) {
+                return;
             }
+            let next_check = now + ARRIVAL_CHECK_INTERVAL;
+            let wake_at = expires_at.map_or(next_check, |expires_at| expires_at.min(next_check));
+            sleep_until(wake_at).await;
+        }
+    }
+
+    /// Since when the client that sends this body waits for its response; `None` if it is still sending.
+    pub fn client_waits_since(&self, now: Instant) -> Option<Instant> {
+        let mut wait = self.client_wait.get();
+        let since = wait.observe(now, self.transfer_state());
+        self.client_wait.set(wait);
+        since
+    }
+
+    fn transfer_state(&self) -> TransferState {
+        let has_arrived =
+            || self.arrival_probe.as_ref().is_some_and(|ArrivalProbe(has_arrived)| has_arrived());
+        if self.completed_at.get().is_some() || has_arrived() {
+            TransferState::Arrived
+        } else if self.is_awaiting_sender() {
+            TransferState::AwaitingClient
+        } else {
+            TransferState::AwaitingEndpoint { since: self.last_taken_at.get() }
         }
     }
 
@@ -158,6 +213,7 @@
     /// Polls the next frame for the reader.
     pub fn poll_frame(&self, context: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         self.is_read_started.set(true);
+        self.last_taken_at.set(Instant::now());
         if let Some(prefix) = self.prefix.take() {
             return Poll::Ready(Some(Ok(Frame::data(prefix))));
         }
@@ -253,7 +309,6 @@
         for callback in self.on_complete.take() {
             callback();
         }
-        self.completed.notify_waiters();
     }
 
     /// Reads and discards the rest of a body, until `deadline` at most.
--- a/crates/proxy/src/downstream/request/mod.rs
+++ b/crates/proxy/src/downstream/request/mod.rs
@@ -21,7 +21,7 @@
 pub use routed::{route, RoutedRequest};
 
 use super::error::{InvalidRequest, RequestError};
-use crate::body::{self, BufferOutcome, MessageBody, StreamingBody};
+use crate::body::{self, ArrivalProbe, BufferOutcome, MessageBody, StreamingBody};
 use crate::exchange::{FinalResponse, UpstreamRequest, MAX_BUFFERED_BODY_BYTES};
 use crate::idempotency_keys::ReservedKey;
 use crate::metrics::RequestRecorder;
@@ -94,7 +94,8 @@
             return Err(InvalidRequest::UnexpectedBody.into());
         }
         routed.allow_streaming(self.router);
-        let body = self.read_body(&routed, body, body_bytes, started_at).await?;
+        let message_bytes = body.size_hint().exact().map(|bytes| head_bytes as u64 + bytes);
+        let body = self.read_body(&routed, body, body_bytes, started_at, message_bytes).await?;
         match &body {
             MessageBody::Streaming(stream) => {
                 let recorder = Rc::clone(recorder);
@@ -120,6 +121,7 @@
         body: Incoming,
         body_bytes: u64,
         started_at: Instant,
+        message_bytes: Option<u64>,
     ) -> Result<MessageBody, RequestError> {
         if !routed.may_stream() && body_bytes > MAX_BUFFERED_BODY_BYTES as u64 {
             return Err(InvalidRequest::BodyTooLarge.into());
@@ -137,12 +139,24 @@
         };
         let is_in_time = Instant::now() < deadline;
         if routed.may_stream() && (is_in_time || prefix.is_empty()) {
-            let stream = StreamingBody::for_request(rest, prefix, self.router.max_body_bytes());
+            let max_bytes = self.router.max_body_bytes();
+            let arrival_probe = self.arrival_probe(message_bytes);
+            let stream = StreamingBody::for_request(rest, prefix, max_bytes, arrival_probe);
             return Ok(MessageBody::Streaming(Rc::new(stream)));
         }
         Err(if is_in_time { InvalidRequest::BodyTooLarge } else { InvalidRequest::SlowBody }.into())
     }
 
+    /// A probe for whether a message of this length has arrived. The end of a message of unknown length is
+    /// only seen when it is read.
+    fn arrival_probe(&self, message_bytes: Option<u64>) -> ArrivalProbe {
+        let socket = self.socket.clone();
+        ArrivalProbe::new(move || {
+            let unread = socket.unread_bytes().unwrap_or(0);
+            message_bytes.is_some_and(|bytes| socket.message_bytes() + unread >= bytes)
+        })
+    }
+
     /// Checks that no bytes follow the message. Clients send one request at a time, so further bytes indicate
     /// a wrong length or a smuggled request.
     fn check_message_end(&self, message_bytes: u64, is_chunked: bool) -> Result<(), InvalidRequest> {
--- a/crates/proxy/src/socket.rs
+++ b/crates/proxy/src/socket.rs
@@ -22,6 +22,10 @@
 /// The maximum number of bytes that [`Socket::read_some`] reads at a time.
 const READ_BUFFER_BYTES: usize = 16 << 10;
 
+/// The number of bytes that the kernel accepts ahead of those that the peer's machine has room for, on a
+/// socket with [`Socket::limit_unsent_bytes`].
+const MAX_UNSENT_BYTES: u32 = 128 << 10;
+
 /// A shared TCP socket.
 #[derive(Clone)]
 pub struct Socket(Rc<Shared>);
@@ -183,6 +187,19 @@
         }
     }
 
+    /// The number of bytes that have arrived and have not been read; `None` if the kernel does not tell.
+    pub fn unread_bytes(&self) -> Option<u64> {
+        rustix::io::ioctl_fionread(&self.0.stream).ok()
+    }
+
+    /// Lets the kernel accept only [`MAX_UNSENT_BYTES`] more than the peer's machine has room for. Its own
+    /// buffer may hold megabytes, which a slow peer takes longer to read than the time after which a transfer
+    /// counts as stalled. To be called before a large message is written.
+    pub fn limit_unsent_bytes(&self) {
+        // Without the limit the message is still sent; its progress is only seen later.
+        let _ = SockRef::from(&self.0.stream).set_tcp_notsent_lowat(MAX_UNSENT_BYTES);
+    }
+
     /// Reads the state of unread input from the kernel, which registers a close before the runtime does.
     pub fn unread_input(&self) -> UnreadInput {
         match SockRef::from(&self.0.stream).peek(&mut [MaybeUninit::uninit()]) {
--- a/crates/proxy/src/upstream/attempt_error.rs
+++ b/crates/proxy/src/upstream/attempt_error.rs
@@ -18,6 +18,9 @@
     ClosedBeforeWrite,
     /// The streamed body of the request ended early, so the endpoint has not received its last byte.
     IncompleteRequest,
+    /// The endpoint took nothing of the streamed body until the deadline, so it has not received its last
+    /// byte.
+    RequestNotTaken,
     /// The connection closed after the request was written, at least in part.
     ConnectionLost,
     /// The connection closed before the end of the response body.
@@ -59,7 +62,8 @@
             AttemptError::Connect(
                 ConnectError::Timeout | ConnectError::Io(_) | ConnectError::Handshake(_),
             )
-            | AttemptError::ClosedBeforeWrite => Outcome::ConnectFailed,
+            | AttemptError::ClosedBeforeWrite
+            | AttemptError::RequestNotTaken => Outcome::ConnectFailed,
             AttemptError::ConnectionLost | AttemptError::IncompleteResponse => Outcome::Reset,
             AttemptError::Rejected => Outcome::Rejected,
             AttemptError::Status(_) | AttemptError::RpcError(_) => Outcome::Error,
@@ -97,6 +101,9 @@
             AttemptError::IncompleteRequest => {
                 f.write_str("the request body ended before its last byte was written")
             }
+            AttemptError::RequestNotTaken => {
+                f.write_str("the endpoint stopped reading before the last byte of the request")
+            }
             AttemptError::ConnectionLost => f.write_str("the connection closed before the response"),
             AttemptError::IncompleteResponse => {
                 f.write_str("the connection closed before the end of the response body")
--- a/crates/proxy/src/upstream/http_attempt.rs
+++ b/crates/proxy/src/upstream/http_attempt.rs
@@ -7,7 +7,7 @@
 use hyper::body::Incoming;
 use hyper::header::HeaderValue;
 use hyper::Response;
-use tokio::time::{sleep_until, timeout_at};
+use tokio::time::timeout_at;
 
 use super::attempt_error::{AttemptError, NotSentReason};
 use super::connect::acquire_http;
@@ -25,14 +25,11 @@
     end.unwrap_or_else(|| timeout_error(request).into())
 }
 
-/// Waits until the client of a streamed request stops waiting, counted from the last byte that it sent. Never
-/// returns if the request is not streamed or has no client timeout, because then only the deadline applies.
+/// Waits until the client of a streamed request stops waiting for the response. Never returns if the request
+/// is not streamed or has no client timeout, because then only the deadline applies.
 async fn client_timeout(request: &AttemptRequest) {
     match (request.message.body().streaming(), request.client_timeout) {
-        (Some(body), Some(timeout)) => {
-            let last_byte_at = body.wait_complete().await;
-            sleep_until(last_byte_at + timeout).await;
-        }
+        (Some(body), Some(timeout)) => body.client_timed_out(timeout).await,
         _ => pending().await,
     }
 }
@@ -43,10 +40,11 @@
         // The time was spent on connecting.
         return NotSentReason::DeadlineExceeded.into();
     }
-    if is_body_incomplete(&request.message) {
-        return AttemptError::IncompleteRequest;
+    match request.message.body().streaming() {
+        Some(body) if body.is_awaiting_sender() => AttemptError::IncompleteRequest,
+        Some(body) if body.completed_at().is_none() => AttemptError::RequestNotTaken,
+        _ => AttemptError::Timeout,
     }
-    AttemptError::Timeout
 }
 
 /// Whether the body is streamed and its last byte has not been read for sending. An endpoint executes nothing
@@ -91,6 +89,9 @@
 ) -> Result<Response<Incoming>, AttemptError> {
     let message = with_timeout_header(&request.message, time_left);
     request.write_started.set(true);
+    if request.message.body().streaming().is_some() {
+        connection.socket.limit_unsent_bytes();
+    }
     let written_before = connection.socket.bytes_written();
     count_when_written(pool, request, connection);
     let error = match connection.sender.try_send_request(message).await {
--- a/crates/proxy/src/upstream/http_response.rs
+++ b/crates/proxy/src/upstream/http_response.rs
@@ -38,7 +38,8 @@
         Ok(BufferOutcome::Complete(body)) => (Some(body.into()), Some(connection)),
         Ok(BufferOutcome::Partial { prefix, rest }) => {
             let max_bytes = max_streamed_bytes.unwrap_or_default();
-            let stream = Rc::new(StreamingBody::for_response(rest, prefix, max_bytes, request.deadline));
+            let deadline = request.response_deadline();
+            let stream = Rc::new(StreamingBody::for_response(rest, prefix, max_bytes, deadline));
             reuse_at_end(pool, request, &stream, connection);
             (Some(MessageBody::Streaming(stream)), None)
         }
--- a/crates/proxy/src/upstream/mod.rs
+++ b/crates/proxy/src/upstream/mod.rs
@@ -83,6 +83,17 @@
     pub write_started: WriteStarted,
 }
 
+impl AttemptRequest {
+    /// When the client stops waiting for the response, as far as that is known. The deadline of an attempt
+    /// with a streamed body includes the longest time that the body may take.
+    fn response_deadline(&self) -> Instant {
+        let streamed = self.message.body().streaming().zip(self.client_timeout);
+        let client_deadline =
+            streamed.and_then(|(body, timeout)| Some(body.client_waits_since(Instant::now())? + timeout));
+        client_deadline.map_or(self.deadline, |client_deadline| client_deadline.min(self.deadline))
+    }
+}
+
 /// A flag that is set when an attempt is passed to its connection for writing, after which a byte of it may
 /// have been sent. Clones share the flag.
 #[derive(Clone, Debug, Default)]
--- a/crates/proxy/src/upstream/tests.rs
+++ b/crates/proxy/src/upstream/tests.rs
@@ -64,6 +64,7 @@
     let errors = [
         (AttemptError::NotSent(NotSentReason::ListExpired), Outcome::NotSent),
         (AttemptError::IncompleteRequest, Outcome::NotSent),
+        (AttemptError::RequestNotTaken, Outcome::ConnectFailed),
         (AttemptError::Connect(ConnectError::UnknownEndpoint), Outcome::NotSent),
         (AttemptError::Connect(ConnectError::SocketsExhausted), Outcome::NotSent),
         (AttemptError::Connect(ConnectError::Timeout), Outcome::ConnectFailed),
--- a/tests/flow.rs
+++ b/tests/flow.rs
@@ -295,6 +295,30 @@
     assert_eq!((process.metric("edge_lb_tries_total"), process.metric("edge_lb_active")), (0, 0));
 }
 
+/// Guards against waiting for the time that the request's body might have taken, once it has arrived.
+#[test]
+fn an_endless_response_to_a_large_request_is_cut_off_at_the_deadline() {
+    let endpoint = raw_endpoint(|mut stream| {
+        let mut reader = BufReader::new(stream.try_clone().expect("a copy"));
+        read_head(&mut reader);
+        let _ = reader.read_exact(&mut vec![0; LARGE]);
+        let _ = stream
+            .write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n10\r\nthe first of it.\r\n");
+        let _ = reader.read_to_end(&mut Vec::new());
+    });
+    let (process, _discovery, listener) = start(&[endpoint]);
+    let mut client = connect(&listener);
+    client.get_mut().write_all(large_request("up", LATENCY_OBJECTIVE_MS).as_bytes()).expect("written");
+    client.get_mut().write_all(&pattern(LARGE)).expect("written");
+    let last_byte_at = Instant::now();
+    assert!(read_head(&mut client).contains(" 200 "));
+    let mut all = Vec::new();
+    let _ = client.read_to_end(&mut all);
+    assert!(all.starts_with(b"10\r\n") && !all.ends_with(b"0\r\n\r\n"), "the truncation is not detectable");
+    assert!(last_byte_at.elapsed() < WELL_BELOW_STALL_TIMEOUT, "{:?}", last_byte_at.elapsed());
+    process.wait_for_metric("edge_lb_errors_total{kind=\"write\"}", 1);
+}
+
 /// Starts a proxy in standalone mode with two pools of the same endpoint, and with a line in `[limits]`.
 fn start_standalone_with_limit(endpoint: SocketAddr, limit: &str) -> Process {
     let class = |name: &str, semantics: &str| {
--- /dev/null
+++ b/tests/slow_peers.rs
@@ -0,0 +1,147 @@
+//! Peers that read slowly or not at all: what this machine's kernel holds is not what the peer has received.
+
+mod stubs;
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use stubs::*;
+
+/// The time that the client of an upload waits, counted from its last byte.
+const CLIENT_TIMEOUT: Duration = Duration::from_millis(1250);
+/// The latency objective of each class; a request with less time is rejected at once.
+const LATENCY_OBJECTIVE_MS: u32 = 1000;
+/// A response that comes later than this after the client's timeout counts as lost.
+const MAX_LATENESS: Duration = Duration::from_millis(550);
+/// Sizes of uploads. Some fit the buffers of the kernel between the client and the endpoint, some do not.
+const UPLOAD_SIZES: [usize; 6] = [200_000, 1 << 20, 3 << 20, 5 << 20, 6 << 20, 8 << 20];
+
+/// Starts a proxy in platform mode or in standalone mode, with one endpoint.
+fn start_in_each_mode(endpoint: SocketAddr) -> [(&'static str, Process, Option<MockDiscovery>); 2] {
+    let discovery = MockDiscovery::new();
+    let mut setup = Setup { latency_objective_ms: LATENCY_OBJECTIVE_MS, ..Setup::with_endpoints(&[]) };
+    setup.endpoints = vec![host("s-0", endpoint, "SERVING")];
+    let platform = start_config(&setup.config(discovery.address));
+    platform.wait_until_ready();
+    let class = |name: &str, semantics: &str| {
+        format!(
+            "[[class]]\nname = \"{name}\"\naim_ms = {LATENCY_OBJECTIVE_MS}\ndeadline_ms = 9000\nsemantics = \"{semantics}\"\n\
+             [[route]]\nname = \"{name}\"\nmatch = {{ path = \"/{name}/*\" }}\nclass = \"{name}\"\npool = \"p\"\n"
+        )
+    };
+    let standalone = start_standalone(
+        &format!(
+            "[server]\nlisten = [{{ address = \"127.0.0.1:0\" }}]\n[limits]\nbody_bytes = {}\n\
+             [[pool]]\nname = \"p\"\nnodes = [{{ name = \"n\", address = \"{endpoint}\" }}]\n{}{}",
+            40 << 20,
+            class("read", "idempotent"),
+            class("write", "at-most-once"),
+        ),
+        &[],
+    );
+    [("platform", platform, Some(discovery)), ("standalone", standalone, None)]
+}
+
+/// How the end of an upload is marked.
+#[derive(Clone, Copy, Debug)]
+enum BodyFraming {
+    ContentLength,
+    Chunked,
+}
+
+/// The head of an upload.
+fn upload_head(id: &str, size: usize, framing: BodyFraming) -> String {
+    let head = write(id, CLIENT_TIMEOUT.as_millis() as u32, "");
+    let body_field = match framing {
+        BodyFraming::ContentLength => format!("Content-Length: {size}"),
+        BodyFraming::Chunked => "Transfer-Encoding: chunked".to_owned(),
+    };
+    head.replace("Content-Length: 0", &body_field)
+}
+
+/// Sends an upload and returns the status of its response, and the time from its last byte to the response.
+fn upload(address: SocketAddr, size: usize, framing: BodyFraming) -> (Option<u16>, Duration) {
+    let head = upload_head(&format!("{framing:?}-{size}"), size, framing);
+    let mut client = BufReader::new(TcpStream::connect(address).expect("connects"));
+    client.get_ref().set_read_timeout(Some(CLIENT_TIMEOUT + 3 * MAX_LATENESS)).expect("set");
+    let body = vec![b'r'; size];
+    client.get_mut().write_all(head.as_bytes()).expect("written");
+    // The proxy reads a body to its end even after its response, so each write completes.
+    match framing {
+        BodyFraming::ContentLength => client.get_mut().write_all(&body).expect("written"),
+        BodyFraming::Chunked => {
+            write!(client.get_mut(), "{size:x}\r\n").expect("written");
+            client.get_mut().write_all(&body).expect("written");
+            client.get_mut().write_all(b"\r\n0\r\n\r\n").expect("written");
+        }
+    }
+    let last_byte_at = Instant::now();
+    let response = read_message(&mut client);
+    (response.map(|response| response.status()), last_byte_at.elapsed())
+}
+
+/// Guards against uploads that are never answered: their time started only when the last byte was read, and
+/// nothing was read any more while the endpoint took nothing.
+#[test]
+fn an_upload_to_an_endpoint_that_stops_reading_is_answered_in_time() {
+    let endpoint = raw_endpoint(|stream| {
+        let mut head = [0; 64];
+        let _ = (&stream).read(&mut head);
+        thread::sleep(TEST_TIMEOUT);
+    });
+    let (mut results, mut late_count) = (Vec::new(), 0);
+    for (mode, proxy, _discovery) in start_in_each_mode(endpoint) {
+        for framing in [BodyFraming::ContentLength, BodyFraming::Chunked] {
+            let address = proxy.address;
+            let uploads = UPLOAD_SIZES.map(|size| thread::spawn(move || upload(address, size, framing)));
+            for (size, upload) in UPLOAD_SIZES.iter().zip(uploads) {
+                let (status, took) = upload.join().expect("no panic");
+                results.push(format!("{mode}, {framing:?}, {size} bytes: {status:?} after {took:?}"));
+                let is_in_time = status.is_some() && took < CLIENT_TIMEOUT + MAX_LATENESS;
+                late_count += usize::from(!is_in_time);
+            }
+        }
+    }
+    assert_eq!(late_count, 0, "{results:#?}");
+}
+
+/// Guards against taking a pause of the endpoint for its end: while the client is sending, its time starts anew
+/// with each part of the body that the endpoint takes.
+#[test]
+fn an_upload_that_its_endpoint_reads_with_pauses_is_served() {
+    const PARTS: usize = 6;
+    const PART_BYTES: usize = 2 << 20;
+    let pause = CLIENT_TIMEOUT * 2 / 5;
+    let endpoint = raw_endpoint(move |mut stream| {
+        let mut part = vec![0; PART_BYTES];
+        let mut reader = BufReader::new(stream.try_clone().expect("a copy"));
+        let mut line = String::new();
+        while line != "\r\n" {
+            line.clear();
+            reader.read_line(&mut line).expect("text");
+        }
+        for _ in 0..PARTS {
+            thread::sleep(pause);
+            if reader.read_exact(&mut part).is_err() {
+                return;
+            }
+        }
+        let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+        let _ = reader.read_to_end(&mut Vec::new());
+    });
+    for (mode, proxy, _discovery) in start_in_each_mode(endpoint) {
+        let head = upload_head("paused", PARTS * PART_BYTES, BodyFraming::ContentLength);
+        let mut client = BufReader::new(TcpStream::connect(proxy.address).expect("connects"));
+        let started_at = Instant::now();
+        client.get_mut().write_all(head.as_bytes()).expect("written");
+        for _ in 0..PARTS {
+            client.get_mut().write_all(&vec![b'r'; PART_BYTES]).expect("written");
+            thread::sleep(pause);
+        }
+        let response = read_message(&mut client).expect("a response");
+        assert!(started_at.elapsed() > 2 * CLIENT_TIMEOUT, "the upload takes longer than its client waits");
+        assert_eq!(response.status(), 200, "{mode}");
+    }
+}
