A large response is not cut off for a client that reads slowly, over HTTP and JSON-RPC

Cause: a client counted as reading nothing while the kernel accepted no bytes. A socket is writable again only when a third of its buffer (1.3 MB of 4 MiB) is free, for which such a client needs 20 s.

Change: while a response is streamed, the kernel accepts at most 128 KiB beyond what the client's machine has room for, so that what it accepts follows what is read. The limit itself stays and is logged.

--- a/crates/proxy/src/downstream/connection.rs
+++ b/crates/proxy/src/downstream/connection.rs
@@ -105,19 +105,25 @@
 
     // ---- Streamed responses ----
 
-    /// Records that a streamed response starts or that more of it was written.
-    pub fn on_response_streaming(&self) {
+    /// Records that a streamed response starts.
+    pub fn on_response_start(&self) {
+        self.socket.limit_unsent_bytes();
+        self.on_response_progress();
+    }
+
+    fn on_response_progress(&self) {
         let progress =
             ResponseWriteProgress { bytes_written: self.socket.bytes_written(), since: Instant::now() };
         self.response_progress.set(Some(progress));
     }
 
     /// Whether the client has read nothing of a streamed response for longer than [`STALL_TIMEOUT`]. Call
-    /// periodically: progress is measured between calls.
+    /// periodically: progress is measured between calls. Bytes that were written are bytes that the client's
+    /// machine has room for, but for those that [`Socket::limit_unsent_bytes`] allows.
     pub fn is_response_stalled(&self) -> bool {
         let Some(progress) = self.response_progress.get() else { return false };
         if self.socket.bytes_written() != progress.bytes_written {
-            self.on_response_streaming();
+            self.on_response_progress();
             return false;
         }
         progress.since.elapsed() > STALL_TIMEOUT
--- a/crates/proxy/src/downstream/http/response.rs
+++ b/crates/proxy/src/downstream/http/response.rs
@@ -86,7 +86,7 @@
         content: body.clone(),
     });
     if stream_guard.is_some() {
-        connection.on_response_streaming();
+        connection.on_response_start();
     }
     let mut response = Response::new(ResponseBody { content: body, stream_guard });
     *response.headers_mut() = headers;
--- a/crates/proxy/src/downstream/rpc/mod.rs
+++ b/crates/proxy/src/downstream/rpc/mod.rs
@@ -100,6 +100,8 @@
 
 impl DownstreamRpcConnection {
     async fn run(&mut self, socket: Socket) {
+        // The responses to all open calls together may exceed the kernel's buffer.
+        socket.limit_unsent_bytes();
         let (mut reader, mut writer) = (socket.clone(), socket.clone());
         let mut is_close_requested = false;
         let mut is_paused = false;
--- a/crates/proxy/src/downstream/timeouts.rs
+++ b/crates/proxy/src/downstream/timeouts.rs
@@ -9,6 +9,8 @@
 
 use super::connection::DownstreamConnection;
 use super::ListenerState;
+use crate::body::STALL_TIMEOUT;
+use crate::log::log_line;
 
 /// The maximum time until the head of a request is complete: from the start of the connection for its first
 /// request, from the head's first byte for later ones.
@@ -30,7 +32,14 @@
 
 fn check(listener: &ListenerState, connection: &DownstreamConnection) {
     let is_client_gone = || connection.is_busy() && connection.socket.is_peer_closed();
-    if connection.is_response_stalled() || is_client_gone() {
+    let is_stalled = connection.is_response_stalled();
+    if is_stalled {
+        log_line(format_args!(
+            "closing the connection of a client that has read nothing of its response for {} s",
+            STALL_TIMEOUT.as_secs()
+        ));
+    }
+    if is_stalled || is_client_gone() {
         connection.abort();
     }
     if connection.is_busy() {
--- a/tests/slow_peers.rs
+++ b/tests/slow_peers.rs
@@ -1,5 +1,7 @@
 //! Peers that read slowly or not at all: what this machine's kernel holds is not what the peer has received.
 
+#[path = "stubs/rpc.rs"]
+mod rpc;
 mod stubs;
 
 use std::io::{BufRead, BufReader, Read, Write};
@@ -7,6 +9,8 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use rpc::*;
+use serde_json::json;
 use stubs::*;
 
 /// The time that the client of an upload waits, counted from its last byte.
@@ -145,3 +149,106 @@
         assert_eq!(response.status(), 200, "{mode}");
     }
 }
+
+// ---- Responses ----
+
+/// The rate at which a slow client reads, in bytes per second.
+const SLOW_RATE: usize = 64_000;
+const SLOW_READ_INTERVAL: Duration = Duration::from_millis(50);
+/// The time after which a client that reads nothing of its response is disconnected.
+const STALL_TIMEOUT: Duration = Duration::from_secs(10);
+/// More than all buffers of the kernel hold.
+const RESPONSE_SIZE: usize = 16 << 20;
+
+/// Reads slowly for longer than [`STALL_TIMEOUT`], then everything that is left or `max_bytes`. Returns the
+/// number of bytes.
+fn read_slowly(mut stream: TcpStream, max_bytes: usize) -> usize {
+    stream.set_read_timeout(Some(TEST_TIMEOUT)).expect("set");
+    let mut piece = vec![0; SLOW_RATE * SLOW_READ_INTERVAL.as_millis() as usize / 1000];
+    let started_at = Instant::now();
+    let mut received = 0;
+    while started_at.elapsed() < STALL_TIMEOUT * 3 / 2 {
+        match stream.read(&mut piece) {
+            Ok(0) | Err(_) => return received,
+            Ok(count) => received += count,
+        }
+        thread::sleep(SLOW_READ_INTERVAL);
+    }
+    let mut rest = vec![0; 1 << 20];
+    while received < max_bytes {
+        match stream.read(&mut rest) {
+            Ok(0) | Err(_) => return received,
+            Ok(count) => received += count,
+        }
+    }
+    received
+}
+
+fn large_response_endpoint() -> SocketAddr {
+    raw_endpoint(|mut stream| {
+        let mut reader = BufReader::new(stream.try_clone().expect("a copy"));
+        while read_message(&mut reader).is_some() {
+            let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {RESPONSE_SIZE}\r\n\r\n");
+            if stream.write_all(head.as_bytes()).is_err()
+                || stream.write_all(&vec![b'a'; RESPONSE_SIZE]).is_err()
+            {
+                return;
+            }
+        }
+    })
+}
+
+/// Guards against responses that are cut off for a client that reads without a pause: the kernel accepts no
+/// bytes for a long time while a large buffer of its own empties, and that was taken for a client that reads
+/// nothing.
+#[test]
+fn a_large_response_is_not_cut_off_for_a_client_that_reads_slowly() {
+    let proxies = start_in_each_mode(large_response_endpoint());
+    let readers: Vec<_> = proxies
+        .iter()
+        .map(|(mode, proxy, _)| {
+            let mut stream = TcpStream::connect(proxy.address).expect("connects");
+            stream.write_all(read("slow", 9000).as_bytes()).expect("written");
+            (mode, thread::spawn(move || read_slowly(stream, RESPONSE_SIZE)))
+        })
+        .collect();
+    for (mode, reader) in readers {
+        let received = reader.join().expect("no panic");
+        assert!(received >= RESPONSE_SIZE, "{mode}: cut off after {received} bytes");
+    }
+}
+
+/// Guards against the same over JSON-RPC, where the responses to many calls are one large stream.
+#[test]
+fn responses_to_many_calls_are_not_cut_off_for_a_client_that_reads_slowly() {
+    const CALLS: usize = 250;
+    const CALL_INTERVAL: Duration = Duration::from_millis(10);
+    const RESULT_SIZE: usize = 60_000;
+    let result = json!("a".repeat(RESULT_SIZE));
+    let endpoint = MockRpcEndpoint::new(Framing::Lines, [RpcBehavior::Result(result)]);
+    let proxy = DualProtocolProxy::start(&RpcSite {
+        rpc_listener_settings: format!(", calls = {CALLS}"),
+        ..RpcSite::rpc(&[endpoint.address])
+    });
+    let mut client = proxy.rpc();
+    for id in 0..CALLS {
+        client.send(&testkit::json_rpc::request(id, "standings", json!({})));
+        // So many calls at a time would be rejected because of load.
+        thread::sleep(CALL_INTERVAL);
+    }
+    let size = CALLS * RESULT_SIZE;
+    let received = read_slowly(client.stream().try_clone().expect("a copy"), size);
+    assert!(received >= size, "cut off after {received} bytes");
+}
+
+/// Guards the limit itself: a client that reads nothing does not keep its connections for ever.
+#[test]
+fn a_client_that_reads_nothing_is_disconnected() {
+    for (mode, proxy, _discovery) in start_in_each_mode(large_response_endpoint()) {
+        let mut stream = TcpStream::connect(proxy.address).expect("connects");
+        stream.write_all(read("unread", 9000).as_bytes()).expect("written");
+        proxy.wait_for_log("closing the connection of a client that has read nothing");
+        let received = read_slowly(stream, RESPONSE_SIZE);
+        assert!(received < RESPONSE_SIZE, "{mode}: {received} bytes");
+    }
+}
