--- a/crates/proxy/src/upstream/connect.rs
+++ b/crates/proxy/src/upstream/connect.rs
@@ -6,8 +6,9 @@
 use decide::EndpointId;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
-use tokio::time::{timeout_at, Instant};
+use tokio::time::{sleep, timeout_at, Instant};
 
+use super::connections::HttpConnectionChoice;
 use super::http_connection::HttpConnection;
 use super::rpc_connection::{RpcConnection, RpcSettings};
 use super::stray_responses::StrayResponses;
@@ -83,21 +84,35 @@
     pub is_reused: bool,
 }
 
-/// Returns an idle HTTP connection or establishes a new one.
+/// Returns an idle HTTP connection or establishes a new one. Waits for a connection that rests if that is
+/// soon over.
 pub async fn acquire_http(
     pool: &UpstreamPool,
     endpoint: EndpointId,
 ) -> Result<AcquiredConnection<HttpConnection>, ConnectError> {
-    if let Some(connection) = take_idle_http(pool, endpoint) {
-        return Ok(AcquiredConnection { connection, is_reused: true });
+    loop {
+        match choose_http(pool, endpoint) {
+            HttpConnectionChoice::Reuse(connection) => {
+                return Ok(AcquiredConnection { connection, is_reused: true });
+            }
+            HttpConnectionChoice::Wait { time, waiting } => {
+                sleep(time).await;
+                drop(waiting);
+            }
+            HttpConnectionChoice::Open => break,
+        }
     }
     let connection = connect_http(pool, endpoint).await?;
     Ok(AcquiredConnection { connection, is_reused: false })
 }
 
-fn take_idle_http(pool: &UpstreamPool, endpoint: EndpointId) -> Option<HttpConnection> {
+fn choose_http(pool: &UpstreamPool, endpoint: EndpointId) -> HttpConnectionChoice {
     let (max_idle, may_open) = (pool.max_idle(), !pool.sockets.is_reached());
-    pool.endpoints.borrow_mut().connections_mut(endpoint)?.take_http(max_idle, may_open)
+    let mut endpoints = pool.endpoints.borrow_mut();
+    match endpoints.connections_mut(endpoint) {
+        Some(connections) => connections.choose_http(max_idle, may_open),
+        None => HttpConnectionChoice::Open,
+    }
 }
 
 /// Establishes a new HTTP connection.
--- a/crates/proxy/src/upstream/connections.rs
+++ b/crates/proxy/src/upstream/connections.rs
@@ -1,6 +1,7 @@
 //! The connections to one endpoint: idle HTTP connections, and JSON-RPC connections, each of which carries
 //! many calls.
 
+use std::cell::Cell;
 use std::rc::{Rc, Weak};
 use std::time::Duration;
 
@@ -8,7 +9,7 @@
 
 use super::connect::PendingConnect;
 use super::http_connection::HttpConnection;
-use super::reuse::{self, ReuseConditions};
+use super::reuse::{self, ConnectionChoice, ReuseConditions, UseTime};
 use super::rpc_connection::RpcConnection;
 use super::stray_responses::StrayResponses;
 
@@ -18,6 +19,8 @@
     /// The most recently used one is last.
     idle_http: Vec<IdleHttpConnection>,
     stray_responses: Rc<StrayResponses>,
+    use_time: UseTime,
+    waiting_requests: Rc<Cell<usize>>,
     rpc: Vec<Rc<RpcConnection>>,
     /// The JSON-RPC connection that is being established, if any.
     pending_rpc: Weak<PendingConnect>,
@@ -28,6 +31,30 @@
     idle_since: Instant,
 }
 
+/// The HTTP connection for a request.
+pub enum HttpConnectionChoice {
+    /// An idle connection.
+    Reuse(HttpConnection),
+    /// An idle connection that must rest first: to choose again after this time.
+    Wait {
+        /// The time until the connection has rested.
+        time: Duration,
+        /// To be kept while waiting.
+        waiting: WaitingRequest,
+    },
+    /// A new connection.
+    Open,
+}
+
+/// Counts a request as waiting for a connection until it is dropped.
+pub struct WaitingRequest(Rc<Cell<usize>>);
+
+impl Drop for WaitingRequest {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
 /// A JSON-RPC connection without calls. Ordered by the time since when it is idle, the longest idle one
 /// first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -54,6 +81,7 @@
 
     /// Keeps an idle connection.
     pub fn add_idle_http(&mut self, connection: HttpConnection) {
+        self.use_time.record(connection.used_since.elapsed());
         self.idle_http.push(IdleHttpConnection { connection, idle_since: Instant::now() });
     }
 
@@ -62,20 +90,37 @@
         &self.stray_responses
     }
 
-    /// Takes the connection that the next request is sent on; `None` if it needs another one. `may_open` is
-    /// whether another one may be opened without closing one. Unusable connections that are found are closed.
-    pub fn take_http(&mut self, max_idle: Duration, may_open: bool) -> Option<HttpConnection> {
+    /// Chooses the connection that the next request is sent on. `may_open` is whether another one may be
+    /// opened without closing one. Unusable connections that are found are closed.
+    pub fn choose_http(&mut self, max_idle: Duration, may_open: bool) -> HttpConnectionChoice {
         loop {
-            let conditions =
-                ReuseConditions { has_stray_responses: self.stray_responses.are_recent(), may_open };
+            let conditions = ReuseConditions {
+                has_stray_responses: self.stray_responses.are_recent(),
+                may_open,
+                waiting_requests: self.waiting_requests.get(),
+                use_time: self.use_time.get(),
+            };
             let idle_times = self.idle_http.iter().map(|idle| idle.idle_since.elapsed());
-            let idle = self.idle_http.remove(reuse::choose(idle_times, conditions)?);
+            let index = match reuse::choose(idle_times, conditions) {
+                ConnectionChoice::Reuse(index) => index,
+                ConnectionChoice::WaitFor(time) => {
+                    return HttpConnectionChoice::Wait { time, waiting: self.start_waiting() };
+                }
+                ConnectionChoice::Open => return HttpConnectionChoice::Open,
+            };
+            let mut idle = self.idle_http.remove(index);
             if idle.idle_since.elapsed() < max_idle && idle.connection.is_usable() {
-                return Some(idle.connection);
+                idle.connection.used_since = Instant::now();
+                return HttpConnectionChoice::Reuse(idle.connection);
             }
         }
     }
 
+    fn start_waiting(&self) -> WaitingRequest {
+        self.waiting_requests.set(self.waiting_requests.get() + 1);
+        WaitingRequest(Rc::clone(&self.waiting_requests))
+    }
+
     /// The idle time of the HTTP connection that has been idle the longest; `None` if there is none.
     pub fn longest_http_idle_time(&self) -> Option<Duration> {
         self.idle_http.first().map(|idle| idle.idle_since.elapsed())
--- a/crates/proxy/src/upstream/http_connection.rs
+++ b/crates/proxy/src/upstream/http_connection.rs
@@ -6,6 +6,7 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use tokio::task::{spawn_local, AbortHandle};
+use tokio::time::Instant;
 
 use super::stray_responses::StrayResponses;
 use crate::body::MessageBody;
@@ -16,6 +17,8 @@
 pub struct HttpConnection {
     pub(super) sender: SendRequest<MessageBody>,
     pub(super) socket: Socket,
+    /// When the connection was opened or last taken for a request.
+    pub(super) used_since: Instant,
     stray_responses: Rc<StrayResponses>,
     task: AbortHandle,
 }
@@ -37,7 +40,7 @@
             }
         };
         let task = spawn_local(run).abort_handle();
-        Ok(HttpConnection { sender, socket, stray_responses, task })
+        Ok(HttpConnection { sender, socket, used_since: Instant::now(), stray_responses, task })
     }
 
     /// Whether a request may be sent, by the state of the connection's task.
