Choosing a connection does not panic when one has rested meanwhile

An attempt panicked with "overflow when subtracting durations" when a connection reached its rest between two looks at its idle time: the iterator read the clock anew. Its request failed as if its connection had been reset. All idle times of a choice are now taken at one instant, and the wait cannot be negative. Test, red before: `a_connection_that_has_rested_meanwhile_is_not_waited_for`.

Two tests were red because they sent requests one right after another and wanted them on one connection, which the rest no longer allows at a fast endpoint: `upstream_connections_are_reused_most_recent_first`, `a_reload_moves_the_watch_and_keeps_all_other_state`. They now pause for longer than a rest; what they assert is unchanged. `a_fast_endpoint_gets_few_connections` bounds what requests without a pause may open.

--- a/crates/proxy/src/upstream/connections.rs
+++ b/crates/proxy/src/upstream/connections.rs
@@ -100,7 +100,8 @@
                 waiting_requests: self.waiting_requests.get(),
                 use_time: self.use_time.get(),
             };
-            let idle_times = self.idle_http.iter().map(|idle| idle.idle_since.elapsed());
+            let now = Instant::now();
+            let idle_times = self.idle_http.iter().map(|idle| now - idle.idle_since);
             let index = match reuse::choose(idle_times, conditions) {
                 ConnectionChoice::Reuse(index) => index,
                 ConnectionChoice::WaitFor(time) => {
--- a/crates/proxy/src/upstream/reuse.rs
+++ b/crates/proxy/src/upstream/reuse.rs
@@ -52,7 +52,8 @@
     }
     // A short wait costs the request less than the handshake of another connection, and the endpoint nothing.
     let max_wait = conditions.use_time.min(REST_TIME);
-    let next_rested_in = idle_times.clone().nth(conditions.waiting_requests).map(|idle| rest_time - idle);
+    let next_idle_time = idle_times.clone().nth(conditions.waiting_requests);
+    let next_rested_in = next_idle_time.map(|idle_time| rest_time.saturating_sub(idle_time));
     if let Some(wait) = next_rested_in.filter(|wait| *wait <= max_wait) {
         return ConnectionChoice::WaitFor(wait);
     }
--- a/crates/proxy/src/upstream/reuse/tests.rs
+++ b/crates/proxy/src/upstream/reuse/tests.rs
@@ -66,6 +66,22 @@
     }
 }
 
+/// Guards against a panic of an attempt: a connection had rested between two looks at its idle time.
+#[test]
+fn a_connection_that_has_rested_meanwhile_is_not_waited_for() {
+    let looks = std::cell::Cell::new(0);
+    let grows = |()| {
+        looks.set(looks.get() + 1);
+        if looks.get() == 1 {
+            REST_TIME - SHORT
+        } else {
+            REST_TIME + SHORT
+        }
+    };
+    let idle_times = [()].into_iter().map(grows);
+    assert_eq!(choose(idle_times, SOUND), ConnectionChoice::WaitFor(Duration::ZERO));
+}
+
 #[test]
 fn the_time_of_use_follows_the_last_requests() {
     let mut use_time = UseTime::default();
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -9,6 +9,9 @@
 use socket2::{Domain, Socket, Type};
 use stubs::*;
 
+/// Longer than an upstream connection rests before it is reused.
+const REST_BEFORE_REUSE: Duration = Duration::from_millis(30);
+
 // ---- Requests and responses ----
 
 #[test]
@@ -273,9 +276,24 @@
     for i in 0..5 {
         proxy.request(&read(&format!("id-{i}"), 9000));
         assert_eq!(endpoint.request().0, 0);
+        thread::sleep(REST_BEFORE_REUSE);
     }
 }
 
+/// Requests that follow each other at once get connections that have not rested, but only a few.
+#[test]
+fn a_fast_endpoint_gets_few_connections() {
+    let endpoint = MockEndpoint::new([ok("done")]);
+    let proxy = Setup::with_endpoints(&[&endpoint]).start();
+    let mut client = proxy.connect();
+    let connection_of = |i: usize, client: &mut HttpClient| {
+        assert_eq!(client.ask(&read(&format!("id-{i}"), 9000)).status(), 200);
+        endpoint.request().0
+    };
+    let highest = (0..100).map(|i| connection_of(i, &mut client)).max();
+    assert!(highest < Some(9), "{highest:?}");
+}
+
 #[test]
 fn idle_upstream_connections_close_before_the_endpoint_closes_them() {
     let endpoint = MockEndpoint::new([ok("done")]);
@@ -515,6 +533,7 @@
     proxy.discovery.wait_for_poll(0);
     let mut client = proxy.connect();
     assert_eq!(client.ask(&read("id-1", 9000)).body, b"old");
+    thread::sleep(REST_BEFORE_REUSE);
     let mut in_flight = proxy.connect();
     in_flight.send(&write("id-2", 9000, "x"));
     // Both were sent on one upstream connection, which stays open.
