--- a/crates/proxy/src/body/streaming.rs
+++ b/crates/proxy/src/body/streaming.rs
@@ -171,7 +171,7 @@
     }
 
     /// Waits until the client that sends this body has waited for its response for `timeout`. See
-    /// [`ClientWait`] for when its wait begins.
+    /// `client_wait` for when its wait begins.
     pub async fn client_timed_out(&self, timeout: Duration) {
         loop {
             let now = Instant::now();
--- a/crates/proxy/src/socket.rs
+++ b/crates/proxy/src/socket.rs
@@ -192,7 +192,7 @@
         rustix::io::ioctl_fionread(&self.0.stream).ok()
     }
 
-    /// Lets the kernel accept only [`MAX_UNSENT_BYTES`] more than the peer's machine has room for. Its own
+    /// Lets the kernel accept only `MAX_UNSENT_BYTES` more than the peer's machine has room for. Its own
     /// buffer may hold megabytes, which a slow peer takes longer to read than the time after which a transfer
     /// counts as stalled. To be called before a large message is written.
     pub fn limit_unsent_bytes(&self) {
