--- a/review/10/run.py
+++ b/review/10/run.py
@@ -35,6 +35,12 @@
 deadline_ms = 2000
 semantics = "idempotent"
 
+[[class]]
+name = "close-round"
+aim_ms = 2000
+deadline_ms = 2000
+semantics = "at-most-once"
+
 [[pool]]
 name = "pairings"
 nodes = [
@@ -48,10 +54,21 @@
 class = "standings"
 pool = "pairings"
 
+[[route]]
+name = "close-round"
+match = {{ path = "/close-round/{{event}}" }}
+class = "close-round"
+pool = "pairings"
+
 [[method]]
 name = "standings"
 class = "standings"
 path = "/standings/{{event}}"
+
+[[method]]
+name = "close-round"
+class = "close-round"
+path = "/close-round/{{event}}"
 """
 
 
@@ -105,7 +122,8 @@
             self.last_id += 1
             number = self.last_id
             self.sent_at[number] = self.case.now()
-        message = {"jsonrpc": "2.0", "id": number, "method": "standings", "params": {"event": str(number)}}
+        method = "close-round" if number % 2 else "standings"
+        message = {"jsonrpc": "2.0", "id": number, "method": method, "params": {"event": str(number)}}
         try:
             json_rpc.write_line(self.connection, message)
         except OSError:
@@ -129,6 +147,8 @@
                 with self.lock:
                     self.stopped = True
                 continue
+            if "result" not in message:
+                self.case.note(f"terminal: {json.dumps(message)}")
             with self.lock:
                 self.sent_at.pop(message["id"], None)
                 self.answered += 1
