--- a/review/common-2/harness.py
+++ b/review/common-2/harness.py
@@ -76,9 +76,12 @@
         path.write_text(text, encoding="utf-8")
         return path
 
-    def proxy(self, name, config=None, env=None, start_line="listening on "):
-        """Starts the program by `run` of the deploy file, with `serve --config` if there is a configuration."""
-        proxy = Proxy(self, name, config, env or {})
+    def proxy(self, name, config=None, env=None, start_line="listening on ", listener=None):
+        """Starts the program by `run` of the deploy file, with `serve --config` if there is a configuration.
+
+        A `listener` is passed on as systemd does it: as descriptor 3, with `LISTEN_FDS` and `LISTEN_PID`.
+        """
+        proxy = Proxy(self, name, config, env or {}, listener)
         self.processes.append(proxy)
         if start_line is not None:
             proxy.wait_for_log(start_line)
@@ -94,10 +97,19 @@
     return found.group(1)
 
 
+# Run in the child: puts the descriptor at 3, sets the variables of systemd, and becomes the command.
+PASS_SOCKET = """
+import os, sys
+os.dup2(int(sys.argv[1]), 3)
+os.environ.update(LISTEN_FDS="1", LISTEN_PID=str(os.getpid()))
+os.execv("/bin/sh", ["/bin/sh", "-c", sys.argv[2]])
+"""
+
+
 class Proxy:
     """A proxy process and its log."""
 
-    def __init__(self, case, name, config, env):
+    def __init__(self, case, name, config, env, listener=None):
         self.case, self.name = case, name
         self.log = []
         self.log_changed = threading.Condition()
@@ -107,8 +119,13 @@
         environment = {key: value for key, value in os.environ.items() if not key.startswith("LB_")}
         environment.update(env)
         case.note(f"{name}: starting: {command}")
+        arguments, descriptors = ["/bin/sh", "-c", command], ()
+        if listener is not None:
+            descriptors = (listener.fileno(),)
+            arguments = [sys.executable, "-c", PASS_SOCKET, str(listener.fileno()), command]
         self.child = subprocess.Popen(
-            ["/bin/sh", "-c", command],
+            arguments,
+            pass_fds=descriptors,
             cwd=ROOT,
             env=environment,
             stdin=subprocess.DEVNULL,
