A keyed request is not written again after its deduplication window

Cause: the window was compared with the clock when the retry was decided, and not when it was written. The list, the drain, the client and the deadline were looked at once more before the write; the window was not. Over JSON-RPC none of them was looked at again once a call was queued on a connection.

Change: the action to send says until when the attempt may be written, and the check right before the write compares it with the clock, with 0.15 s to spare, as it does for drains. A JSON-RPC call is checked and encoded when its connection takes the first byte. A metric counts what these checks stop, by reason.

--- a/crates/decide/src/action.rs
+++ b/crates/decide/src/action.rs
@@ -15,6 +15,9 @@
         endpoint: EndpointId,
         /// The time at which the attempt is given up.
         deadline: Micros,
+        /// The time from which on nothing of the attempt may be written, because a repeat of the request might
+        /// then be executed again; `None` for no limit.
+        write_before: Option<Micros>,
     },
     /// Answer the client with a rejection: the request was not executed, or a retry does no harm.
     Reject {
--- a/crates/decide/src/dispatch.rs
+++ b/crates/decide/src/dispatch.rs
@@ -87,13 +87,14 @@
         debug_assert!(self.requests.get(id).is_some_and(|request| {
             self.retry_policy.may_start_attempt(now, request, &self.endpoints, endpoint)
         }));
+        let write_before = self.requests.get(id).and_then(|request| self.retry_policy.write_before(request));
         let Some(deadline) = self.requests.start_attempt(now, id, endpoint, &mut self.endpoints, self.window)
         else {
             return;
         };
         let record = &mut self.endpoints[endpoint];
         record.count_sent(now);
-        actions.push(Action::Send { request: id, endpoint: record.entry.id, deadline });
+        actions.push(Action::Send { request: id, endpoint: record.entry.id, deadline, write_before });
         self.publish_load(endpoint, LoadSignal::None, actions);
     }
 
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -47,7 +47,7 @@
 //! actions.clear();
 //! let request = NewRequest { id: RequestId(1), class: 0, time_left: 2_000_000, ..NewRequest::default() };
 //! balancer.handle(1_000, Event::Request(request), &mut actions);
-//! let Action::Send { request, endpoint, deadline } = actions[0] else { panic!("{actions:?}") };
+//! let Action::Send { request, endpoint, deadline, .. } = actions[0] else { panic!("{actions:?}") };
 //! assert_eq!((endpoint, deadline), (EndpointId(40), 501_000));
 //!
 //! // The outcome. It is final here, because the answer was forwarded to the client. After an outcome that is
--- a/crates/decide/src/retry.rs
+++ b/crates/decide/src/retry.rs
@@ -8,7 +8,8 @@
 //! - There is no retry after a timeout, nor if the time left is at most half of the typical latency of the
 //!   class.
 //! - A request that was executed, or may have been, is repeated only if the [`Semantics`] of its class allow
-//!   it.
+//!   it. The repeat must be written before the endpoints forget the first attempt, so the end of that time is
+//!   a part of the action.
 //!
 //! Bounds: `max_attempts` of the settings and of the request. A request has at most one attempt at a time,
 //! also if `hedging_allowed` permits two, because this version does not hedge.
@@ -90,7 +91,16 @@
             && now < request.deadline
             && request.attempts.len() < self.max_attempts.min(request.max_attempts)
             && (self.hedging_allowed || !request.has_attempt_in_flight())
-            && self.may_run_again(now, request, endpoints, entry)
+            && self.may_run_again(request, endpoints, entry)
+            && self.write_before(request).is_none_or(|write_before| now < write_before)
+    }
+
+    /// The time from which on nothing of a further attempt may be written: the endpoints that may have
+    /// executed the request discard repeats only for a while. `None` if there is no such limit.
+    pub fn write_before(&self, request: &PendingRequest) -> Option<Micros> {
+        let Semantics::Deduplicated { window, .. } = self.semantics(request.class) else { return None };
+        let may_have_run = request.attempts.iter().filter(|attempt| attempt.may_have_run());
+        may_have_run.map(|attempt| attempt.sent_at + window).min()
     }
 
     /// Whether a rejection of this request may guarantee that a retry does no harm.
@@ -103,21 +113,16 @@
         }
     }
 
-    /// Whether the semantics of the class and the attempts so far allow another one at this endpoint.
-    fn may_run_again(
-        &self,
-        now: Micros,
-        request: &PendingRequest,
-        endpoints: &EndpointTable,
-        entry: &Endpoint,
-    ) -> bool {
+    /// Whether the semantics of the class and the attempts so far allow another one at this endpoint, if it is
+    /// written before [`RetryPolicy::write_before`].
+    fn may_run_again(&self, request: &PendingRequest, endpoints: &EndpointTable, entry: &Endpoint) -> bool {
         let mut may_have_run = request.attempts.iter().filter(|attempt| attempt.may_have_run());
         match self.semantics(request.class) {
             Semantics::Idempotent => true,
             Semantics::AtMostOnce => may_have_run.next().is_none(),
-            Semantics::Deduplicated { group, window } => may_have_run.all(|attempt| {
+            Semantics::Deduplicated { group, .. } => may_have_run.all(|attempt| {
                 let earlier = &endpoints[attempt.endpoint].entry;
-                share_deduplication(group, earlier, entry) && now < attempt.sent_at + window
+                share_deduplication(group, earlier, entry)
             }),
         }
     }
--- a/crates/decide/tests/common/event_sequence.rs
+++ b/crates/decide/tests/common/event_sequence.rs
@@ -276,7 +276,7 @@
 
     fn execute(&mut self, action: Action) {
         match action {
-            Action::Send { request, endpoint, deadline } => {
+            Action::Send { request, endpoint, deadline, .. } => {
                 self.start_attempt(request.0, endpoint.0, deadline)
             }
             Action::Timer { at, token } => self.schedule(at, Scheduled::Timer(token)),
--- a/crates/decide/tests/common/model.rs
+++ b/crates/decide/tests/common/model.rs
@@ -63,7 +63,10 @@
 
     fn check(&mut self, action: Action) {
         match action {
-            Action::Send { request, endpoint, deadline } => self.check_send(request, endpoint, deadline),
+            Action::Send { request, endpoint, deadline, write_before } => {
+                self.check_write_before(request, write_before);
+                self.check_send(request, endpoint, deadline);
+            }
             Action::Reject { request, .. } => self.check_reject(request),
             Action::Fail(request) => {
                 let pending = self.pending.remove(&request).expect("request answered twice");
@@ -86,6 +89,19 @@
         }
     }
 
+    /// A repeat has to be written before the endpoints forget any attempt that may have been executed.
+    fn check_write_before(&self, request: RequestId, write_before: Option<Micros>) {
+        let pending = &self.pending[&request];
+        let may_have_run =
+            pending.attempts.iter().filter(|attempt| attempt.in_flight || attempt.may_have_run);
+        let window_ends =
+            may_have_run.filter_map(|attempt| match self.settings.classes[pending.class].semantics {
+                Semantics::Deduplicated { window, .. } => Some(attempt.sent_at + window),
+                Semantics::Idempotent | Semantics::AtMostOnce => None,
+            });
+        assert_eq!(write_before, window_ends.min(), "the end of the deduplication window");
+    }
+
     fn check_send(&mut self, request: RequestId, endpoint: EndpointId, deadline: Micros) {
         let pending = self.pending.get_mut(&request).expect("attempt for a request that is not pending");
         let entry = &self.endpoints[&endpoint.0];
--- a/crates/decide/tests/common/recorded_form.rs
+++ b/crates/decide/tests/common/recorded_form.rs
@@ -7,7 +7,9 @@
 /// The text of an action, which is its `Debug` output at the time of the first recording.
 pub fn recorded_form(action: &Action) -> String {
     match action {
-        Action::Send { request: RequestId(request), endpoint: EndpointId(backend), deadline: until } => {
+        Action::Send {
+            request: RequestId(request), endpoint: EndpointId(backend), deadline: until, ..
+        } => {
             format!("Send {{ request: RequestId({request}), backend: BackendId({backend}), until: {until} }}")
         }
         Action::Reject { request: RequestId(request), retry_after } => {
--- a/crates/decide/tests/common/world.rs
+++ b/crates/decide/tests/common/world.rs
@@ -215,7 +215,7 @@
         for action in out {
             self.digest.write(&format!("{b} {}", recorded_form(&action)));
             match action {
-                Action::Send { request, endpoint, deadline } => {
+                Action::Send { request, endpoint, deadline, .. } => {
                     let endpoint = endpoint.0 as usize;
                     self.last_number += 1;
                     let id = self.last_number;
--- a/crates/decide/tests/equality.rs
+++ b/crates/decide/tests/equality.rs
@@ -204,7 +204,7 @@
     let (request, endpoint) = (RequestId(1), EndpointId(2));
     let forms = [
         (
-            Action::Send { request, endpoint, deadline: -3 },
+            Action::Send { request, endpoint, deadline: -3, write_before: None },
             "Send { request: RequestId(1), backend: BackendId(2), until: -3 }",
         ),
         (Action::Reject { request, retry_after: 4 }, "Refuse { request: RequestId(1), retry_after: 4 }"),
--- a/crates/emulate/src/world/balancer.rs
+++ b/crates/emulate/src/world/balancer.rs
@@ -16,7 +16,9 @@
 
     fn perform(&mut self, proxy: usize, action: Action) {
         match action {
-            Action::Send { request, endpoint, deadline } => self.send(proxy, request.0, endpoint, deadline),
+            Action::Send { request, endpoint, deadline, .. } => {
+                self.send(proxy, request.0, endpoint, deadline)
+            }
             Action::Reject { request, .. } => self.on_rejection(proxy, request.0),
             Action::Fail(request) => {
                 self.answer(proxy, request.0, false);
--- a/crates/proxy/src/driver/attempt_task.rs
+++ b/crates/proxy/src/driver/attempt_task.rs
@@ -37,6 +37,7 @@
     let mut guard = ResultGuard::new(driver.clone(), attempt);
     let upstream_pool = Rc::clone(upstream_pool);
     let write_started = request.write_started.clone();
+    let request = Rc::new(request);
     let task = spawn_local(async move {
         let end = upstream_pool.attempt(&request).await;
         guard.send(end.result);
--- a/crates/proxy/src/driver/mod.rs
+++ b/crates/proxy/src/driver/mod.rs
@@ -21,7 +21,7 @@
 use tokio::sync::{mpsc, Notify};
 use tokio::task::spawn_local;
 
-use self::open_request::OpenRequest;
+use self::open_request::{AttemptTerms, OpenRequest};
 use crate::clock::Clock;
 use crate::exchange::{AttemptResult, Execution, FinalResponse};
 use crate::gossip::GossipSocket;
@@ -221,7 +221,11 @@
 
     fn carry_out(&mut self, action: Action) {
         match action {
-            Action::Send { request, endpoint, deadline } => self.start_attempt(request, endpoint, deadline),
+            Action::Send { request, endpoint, deadline, write_before } => {
+                let deadline = self.clock.instant(deadline);
+                let write_before = write_before.map(|at| self.clock.instant(at));
+                self.start_attempt(request, AttemptTerms { endpoint, deadline, write_before });
+            }
             Action::Reject { request, retry_after } => {
                 let never_ran = self.open_requests.get(&request).is_some_and(OpenRequest::never_ran);
                 let execution = if never_ran { Execution::RuledOut } else { Execution::Possible };
@@ -248,10 +252,11 @@
         }
     }
 
-    fn start_attempt(&mut self, id: RequestId, endpoint: EndpointId, deadline: Micros) {
+    fn start_attempt(&mut self, id: RequestId, terms: AttemptTerms) {
         let Some(request) = self.open_requests.get_mut(&id) else { return };
         let attempt = AttemptId { request: id, number: request.attempt_count() };
-        let attempt_request = request.attempt_request(endpoint, self.clock.instant(deadline));
+        let endpoint = terms.endpoint;
+        let attempt_request = request.attempt_request(terms);
         let task = attempt_task::spawn(attempt, attempt_request, &self.handle, &self.upstream_pool);
         let started_at = self.clock.now();
         request.record_attempt(AttemptTarget { endpoint, started_at }, task);
--- a/crates/proxy/src/driver/open_request.rs
+++ b/crates/proxy/src/driver/open_request.rs
@@ -13,6 +13,17 @@
 use crate::inbox::AttemptTarget;
 use crate::upstream::{AttemptRequest, WriteStarted};
 
+/// What the balancer decided on an attempt.
+#[derive(Clone, Copy, Debug)]
+pub struct AttemptTerms {
+    /// The endpoint to send to.
+    pub endpoint: EndpointId,
+    /// When the attempt times out.
+    pub deadline: Instant,
+    /// The time from which on nothing may be written; `None` for no limit.
+    pub write_before: Option<Instant>,
+}
+
 /// A request without its final response.
 pub struct OpenRequest {
     message: Rc<UpstreamRequest>,
@@ -60,13 +71,14 @@
     }
 
     /// Builds the next attempt.
-    pub fn attempt_request(&self, endpoint: EndpointId, deadline: Instant) -> AttemptRequest {
+    pub fn attempt_request(&self, terms: AttemptTerms) -> AttemptRequest {
         let client_timeout = self.message.extensions().get::<ClientTimeout>();
         AttemptRequest {
-            endpoint,
+            endpoint: terms.endpoint,
             message: Rc::clone(&self.message),
             disconnect_probe: self.disconnect_probe.clone(),
-            deadline,
+            deadline: terms.deadline,
+            write_before: terms.write_before,
             client_timeout: client_timeout.map(|timeout| timeout.0),
             write_started: WriteStarted::default(),
         }
--- a/crates/proxy/src/metrics/mod.rs
+++ b/crates/proxy/src/metrics/mod.rs
@@ -8,6 +8,7 @@
 mod request;
 #[cfg(test)]
 mod tests;
+mod unsent;
 
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
@@ -22,6 +23,7 @@
 pub use attempt_write::NextWriteCounter;
 use pool_metric::PoolMetric;
 pub use request::{RequestCounters, RequestOutcome, RequestRecorder};
+pub use unsent::UnsentCounters;
 
 /// The largest number of label sets of one metric, over all reloads.
 const MAX_LABEL_SETS: usize = 2000;
@@ -53,6 +55,7 @@
     errors: Family<Labels, Counter>,
     active: Gauge,
     attempts: PoolMetric<Counter>,
+    unsent_attempts: Family<Labels, Counter>,
     pool_size: PoolMetric<Gauge>,
     pool_ejected: PoolMetric<Gauge>,
     request_counters: RefCell<BTreeMap<RequestCounterKey, Rc<RequestCounters>>>,
@@ -65,11 +68,13 @@
     /// pool of the process has no label.
     pub fn new(labeled_by_pool: bool) -> Metrics {
         let mut registry = Registry::with_prefix("edge_lb");
-        let ok = register_request_counter(&mut registry, "ok", "Requests served");
-        let shed = register_request_counter(&mut registry, "shed", "Requests refused");
-        let errors = register_request_counter(&mut registry, "errors", "Requests failed");
+        let ok = register_counter_family(&mut registry, "ok", "Requests served");
+        let shed = register_counter_family(&mut registry, "shed", "Requests refused");
+        let errors = register_counter_family(&mut registry, "errors", "Requests failed");
         let attempts_help = "Attempts written whole to backends";
         let attempts = PoolMetric::register(&mut registry, labeled_by_pool, "tries", attempts_help);
+        let unsent_help = "Attempts that were decided on and not sent, by reason";
+        let unsent_attempts = register_counter_family(&mut registry, "unsent_tries", unsent_help);
         let active = Gauge::default();
         registry.register("active", "Requests taken and not ended", active.clone());
         let size_help = "Backends in the list";
@@ -83,6 +88,7 @@
             errors,
             active,
             attempts,
+            unsent_attempts,
             pool_size,
             pool_ejected,
             request_counters: RefCell::default(),
@@ -124,6 +130,16 @@
         self.attempts.with_labels(pool)
     }
 
+    /// The counters of attempts that were not sent to endpoints of a pool. To be called after
+    /// [`Self::attempts`], which bounds the number of pools.
+    pub fn unsent_attempts(&self, pool: &Labels) -> UnsentCounters {
+        let is_known = self.pools_with_attempts.borrow().contains(pool);
+        UnsentCounters::new(
+            &self.unsent_attempts,
+            if is_known { pool.clone() } else { overflow_labels(pool) },
+        )
+    }
+
     /// Encodes all metrics in the OpenMetrics text format, with the gauges of the given pools.
     pub fn encode(&self, pools: &[PoolGauges]) -> String {
         // Pools that a reload has removed must not be exposed anymore.
@@ -140,7 +156,7 @@
     }
 }
 
-fn register_request_counter(registry: &mut Registry, name: &str, help: &str) -> Family<Labels, Counter> {
+fn register_counter_family(registry: &mut Registry, name: &str, help: &str) -> Family<Labels, Counter> {
     let family = Family::default();
     registry.register(name, help, family.clone());
     family
--- a/crates/proxy/src/platform/mod.rs
+++ b/crates/proxy/src/platform/mod.rs
@@ -30,7 +30,7 @@
 use crate::process::{self, Signals};
 use crate::request_ids::OpenRequestIds;
 use crate::start_error::StartError;
-use crate::upstream::{UpstreamPool, DRAIN_MARGIN};
+use crate::upstream::{UpstreamPool, MAX_WRITE_DELAY};
 use crate::{handover, inherited_socket, operators};
 
 pub use config_file::{Config, ConfigError, GossipConfig};
@@ -121,7 +121,8 @@
         let PlatformSettings { settings, names, transport } = &config.platform;
         let clock = Clock::new();
         let upstreams = UpstreamPool::new(transport.clone(), config.max_upstream_connections);
-        let upstreams = Rc::new(upstreams.with_attempt_counter(metrics.attempts(&Labels::new())));
+        let upstreams = upstreams.with_attempt_counter(metrics.attempts(&Labels::new()));
+        let upstreams = Rc::new(upstreams.with_unsent_counters(metrics.unsent_attempts(&Labels::new())));
         let poll_requested = Rc::new(Notify::new());
         let driver = Driver::new(
             settings.clone(),
@@ -231,7 +232,7 @@
     let poll_deadline = platform.settings.max_poll_interval.max(MIN_POLL_DEADLINE);
     let terms = LeaseTerms {
         drain_grace: platform.transport.drain_grace,
-        margin: DRAIN_MARGIN.as_micros() as Micros,
+        margin: MAX_WRITE_DELAY.as_micros() as Micros,
         max_suspension: poll_deadline * MAX_SUSPENSION_POLL_DEADLINES,
         presumed_outage: poll_deadline * PRESUMED_OUTAGE_NUMERATOR / PRESUMED_OUTAGE_DENOMINATOR,
     };
--- a/crates/proxy/src/pool/start.rs
+++ b/crates/proxy/src/pool/start.rs
@@ -99,7 +99,10 @@
     };
     let mut upstreams = UpstreamPool::new(transport, max_connections);
     if let Some(operators) = operators {
-        upstreams = upstreams.with_attempt_counter(operators.metrics.attempts(&operators.labels(&pool.name)));
+        let labels = operators.labels(&pool.name);
+        upstreams = upstreams
+            .with_attempt_counter(operators.metrics.attempts(&labels))
+            .with_unsent_counters(operators.metrics.unsent_attempts(&labels));
     }
     match pool.protocol {
         Protocol::Http => upstreams,
--- a/crates/proxy/src/socket.rs
+++ b/crates/proxy/src/socket.rs
@@ -166,6 +166,11 @@
         .await
     }
 
+    /// Waits until the socket may accept bytes.
+    pub fn poll_write_ready(&self, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.0.stream.poll_write_ready(context)
+    }
+
     /// The counter that counts a message at the next write.
     pub fn write_counter(&self) -> &NextWriteCounter {
         &self.0.write_counter
--- a/crates/proxy/src/upstream/attempt_error.rs
+++ b/crates/proxy/src/upstream/attempt_error.rs
@@ -46,10 +46,26 @@
     ClientDisconnected,
     /// The deadline of the attempt passed.
     DeadlineExceeded,
+    /// An earlier attempt may have been executed, and the endpoint may have forgotten it.
+    DeduplicationExpired,
     /// Health checks are not made over JSON-RPC.
     Unsupported,
 }
 
+impl NotSentReason {
+    /// The value of the label of metrics.
+    pub fn label(self) -> &'static str {
+        match self {
+            NotSentReason::ListExpired => "list_expired",
+            NotSentReason::EndpointDrained => "endpoint_drained",
+            NotSentReason::ClientDisconnected => "client_disconnected",
+            NotSentReason::DeadlineExceeded => "deadline_exceeded",
+            NotSentReason::DeduplicationExpired => "deduplication_expired",
+            NotSentReason::Unsupported => "unsupported",
+        }
+    }
+}
+
 impl AttemptError {
     /// The outcome that is reported to the balancer.
     pub fn outcome(&self) -> Outcome {
@@ -127,6 +143,7 @@
             }
             NotSentReason::ClientDisconnected => "the client has disconnected",
             NotSentReason::DeadlineExceeded => "the deadline has passed",
+            NotSentReason::DeduplicationExpired => "the endpoint may have forgotten an earlier attempt",
             NotSentReason::Unsupported => "JSON-RPC has no health check",
         })
     }
--- a/crates/proxy/src/upstream/mod.rs
+++ b/crates/proxy/src/upstream/mod.rs
@@ -4,8 +4,9 @@
 //! and over JSON-RPC in `rpc_attempt`:
 //!
 //! 1. take a connection: an idle one (`connections`) or a new one (`connect`);
-//! 2. check that sending is still allowed: endpoint list, drain grace, client, deadline (`send_checks`); over
-//!    HTTP, the list and the client are checked before connecting as well;
+//! 2. check right before the write that sending is still allowed: endpoint list, drain grace, client, deadline,
+//!    deduplication window (`send_checks`); over HTTP, the list and the client are checked before connecting as
+//!    well;
 //! 3. send the request, and retry on another connection if a reused one had just closed;
 //! 4. read the response;
 //! 5. classify the outcome: `attempt_error` maps each failure of an attempt to an outcome. The status of a
@@ -52,12 +53,15 @@
 use self::load_report::LoadReportParser;
 use self::socket_limit::SocketLimit;
 use crate::exchange::{AttemptResult, DisconnectProbe, UpstreamRequest};
+use crate::metrics::UnsentCounters;
 
 /// The fraction of the endpoints' keep-alive time for which an idle connection is kept. Less than 1, so that
 /// no request is sent while the endpoint closes the connection.
 const IDLE_FRACTION_OF_KEEPALIVE: f64 = 0.75;
-/// The time before the end of the drain grace in which nothing more is sent to a draining endpoint.
-pub const DRAIN_MARGIN: Duration = Duration::from_millis(150);
+/// The longest time between a check of the clock and the write that it allows, for example because the process
+/// is not scheduled. Nothing is sent within this time before the end of a drain grace or of a deduplication
+/// window.
+pub const MAX_WRITE_DELAY: Duration = Duration::from_millis(150);
 /// The number of evictions of idle connections within the time for which an idle connection is kept.
 const EVICTIONS_PER_IDLE_TIME: u32 = 10;
 /// The shortest pause between two evictions.
@@ -78,6 +82,9 @@
     pub disconnect_probe: DisconnectProbe,
     /// When the attempt times out.
     pub deadline: Instant,
+    /// The time from which on nothing may be written, because endpoints may have forgotten an earlier attempt
+    /// of the request; `None` for no limit.
+    pub write_before: Option<Instant>,
     /// How long the client waits for the response, from the last byte of its request. Applies only if the
     /// body is streamed; `None` if the client set no timeout.
     pub client_timeout: Option<Duration>,
@@ -139,6 +146,7 @@
     is_retired: Cell<bool>,
     /// Counts the attempts that were written; see [`UpstreamPool::with_attempt_counter`].
     attempts_written: Counter,
+    unsent_attempts: UnsentCounters,
 }
 
 impl UpstreamPool {
@@ -153,9 +161,16 @@
             load_reports: LoadReportParser::default(),
             is_retired: Cell::new(false),
             attempts_written: Counter::default(),
+            unsent_attempts: UnsentCounters::default(),
         }
     }
 
+    /// Sets the counters of the attempts that a check right before the connect or the write stopped.
+    pub fn with_unsent_counters(mut self, unsent_attempts: UnsentCounters) -> UpstreamPool {
+        self.unsent_attempts = unsent_attempts;
+        self
+    }
+
     /// Sets the counter of the attempts that were written. An HTTP attempt is counted at the first write of a
     /// buffered request, or at the first write after the end of a streamed body. A JSON-RPC call is counted
     /// when it ends, unless it ends with `NotWritten`, times out or is abandoned.
@@ -244,7 +259,7 @@
     // ---- Attempts ----
 
     /// Runs an attempt.
-    pub async fn attempt(self: &Rc<Self>, request: &AttemptRequest) -> AttemptEnd {
+    pub async fn attempt(self: &Rc<Self>, request: &Rc<AttemptRequest>) -> AttemptEnd {
         match &self.rpc {
             Some(settings) => rpc_attempt::run(self, settings, request).await,
             None => http_attempt::run(self, request).await,
--- a/crates/proxy/src/upstream/rpc_attempt.rs
+++ b/crates/proxy/src/upstream/rpc_attempt.rs
@@ -1,8 +1,7 @@
 //! An attempt over JSON-RPC.
 
-use std::time::Duration;
+use std::rc::Rc;
 
-use bytes::Bytes;
 use decide::Outcome;
 use tokio::time::timeout_at;
 
@@ -15,7 +14,11 @@
 use crate::rpc_mapping;
 
 /// Runs an attempt within its deadline.
-pub async fn run(pool: &UpstreamPool, settings: &RpcSettings, request: &AttemptRequest) -> AttemptEnd {
+pub async fn run(
+    pool: &Rc<UpstreamPool>,
+    settings: &RpcSettings,
+    request: &Rc<AttemptRequest>,
+) -> AttemptEnd {
     let progress = CallBytesWritten::default();
     let ended = timeout_at(request.deadline, exchange(pool, settings, request, &progress)).await;
     let response = ended.unwrap_or_else(|_| Err(timeout_error(&progress)));
@@ -39,20 +42,18 @@
 /// Connects, sends the call and waits for its result. If a reused connection has closed before the call was
 /// written, tries another one.
 async fn exchange(
-    pool: &UpstreamPool,
+    pool: &Rc<UpstreamPool>,
     settings: &RpcSettings,
-    request: &AttemptRequest,
+    request: &Rc<AttemptRequest>,
     progress: &CallBytesWritten,
 ) -> Result<UpstreamResponse, AttemptError> {
-    let body = rpc_mapping::buffered_body(&request.message);
     loop {
         let acquired = acquire_rpc(pool, request.endpoint, settings).await?;
-        let time_left = check_before_write(pool, request)?;
-        request.write_started.set(true);
-        let call = send(&acquired.connection, request, &body, time_left, progress);
+        check_before_write(pool, request)?;
+        let call = send(&acquired.connection, pool, request, progress);
         drop(acquired.connection);
         let result = call.result().await;
-        if !matches!(result, CallResult::NotWritten) {
+        if !matches!(result, CallResult::NotWritten | CallResult::Withdrawn(_)) {
             pool.attempts_written.inc();
         }
         match classify(result) {
@@ -65,16 +66,21 @@
     }
 }
 
+/// Queues the call. It is checked and encoded when the connection can write it, which may be much later.
 fn send(
-    connection: &std::rc::Rc<RpcConnection>,
-    request: &AttemptRequest,
-    body: &Bytes,
-    time_left: Duration,
+    connection: &Rc<RpcConnection>,
+    pool: &Rc<UpstreamPool>,
+    request: &Rc<AttemptRequest>,
     progress: &CallBytesWritten,
 ) -> InFlightCall {
-    let milliseconds = time_left.as_millis().max(1) as u64;
-    connection.send(progress.clone(), |id| {
-        rpc_mapping::http_request_to_call(&request.message, body, id, milliseconds)
+    let pool = Rc::clone(pool);
+    let request = Rc::clone(request);
+    connection.send(progress.clone(), move |id| {
+        let time_left = check_before_write(&pool, &request)?;
+        request.write_started.set(true);
+        let milliseconds = time_left.as_millis().max(1) as u64;
+        let body = rpc_mapping::buffered_body(&request.message);
+        Ok(rpc_mapping::http_request_to_call(&request.message, &body, id, milliseconds))
     })
 }
 
@@ -88,6 +94,7 @@
         CallResult::Error(jsonrpc::code::NOT_PROCESSED) => Err(AttemptError::Rejected),
         CallResult::Error(code) => Err(AttemptError::RpcError(code)),
         CallResult::NotWritten => Err(AttemptError::ClosedBeforeWrite),
+        CallResult::Withdrawn(reason) => Err(reason.into()),
         CallResult::Unknown => Err(AttemptError::ConnectionLost),
     }
 }
--- a/crates/proxy/src/upstream/rpc_connection/call.rs
+++ b/crates/proxy/src/upstream/rpc_connection/call.rs
@@ -8,8 +8,10 @@
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
-use super::state::{OutgoingFrame, PendingCall};
+use super::outgoing_frame::OutgoingFrame;
+use super::state::PendingCall;
 use super::RpcConnection;
+use crate::upstream::attempt_error::NotSentReason;
 
 /// If a call is abandoned after this time and the connection has received nothing since the call was started,
 /// the next calls use another connection.
@@ -24,6 +26,8 @@
     Error(i64),
     /// The connection closed before the call was written in full, so it was not executed.
     NotWritten,
+    /// Nothing was written, because the call may no longer be sent.
+    Withdrawn(NotSentReason),
     /// The connection closed after the call was written in full, or the response is unusable. The call may
     /// have been executed.
     Unknown,
@@ -60,24 +64,18 @@
 }
 
 impl InFlightCall {
-    /// Queues a call on a connection. `message` builds the call from its id, which is encoded as JSON.
+    /// Queues a call on a connection; see [`RpcConnection::send`].
     pub(super) fn start(
         connection: Rc<RpcConnection>,
         progress: CallBytesWritten,
-        message: impl FnOnce(&str) -> Vec<u8>,
+        encode: impl Fn(&str) -> Result<Vec<u8>, NotSentReason> + 'static,
     ) -> InFlightCall {
         let state = &connection.state;
         let id = state.new_call_id();
-        let frame = state.frame(&message(&format!("\"{id}\"")));
         let (sender, result) = oneshot::channel();
         progress.reset();
-        let pending = PendingCall {
-            result: sender,
-            progress: progress.clone(),
-            message_len: state.message_len(frame.len()),
-        };
-        let frame = OutgoingFrame { call_id: Some(id.clone()), frame, progress: progress.clone() };
-        state.start_call(id.clone(), pending, frame);
+        let pending = PendingCall { result: sender, progress: progress.clone(), message_len: None };
+        state.start_call(id.clone(), pending, OutgoingFrame::call(id.clone(), encode, progress.clone()));
         InFlightCall { connection, id, progress, result, started_at: Instant::now() }
     }
 
--- a/crates/proxy/src/upstream/rpc_connection/mod.rs
+++ b/crates/proxy/src/upstream/rpc_connection/mod.rs
@@ -1,10 +1,12 @@
 //! A JSON-RPC connection to an endpoint, which carries many calls at once.
 //!
 //! A task (`task`) writes and reads; it shares the state of the connection (`state`) with the calls (`call`).
+//! A call is encoded only when the socket accepts its first byte (`outgoing_frame`).
 //! At most [`RpcSettings::max_concurrent_calls`] calls are in flight, and at most twice as many frames are
 //! queued for writing.
 
 mod call;
+mod outgoing_frame;
 mod state;
 mod task;
 #[cfg(test)]
@@ -20,6 +22,7 @@
 use tokio::time::Instant;
 
 use self::state::ConnectionState;
+use super::attempt_error::NotSentReason;
 use crate::socket::Socket;
 
 /// The JSON-RPC settings of a pool.
@@ -67,14 +70,15 @@
         !self.is_usable() || self.idle_since().is_some_and(|since| since.elapsed() >= max_idle)
     }
 
-    /// Queues a call for writing. `progress` counts the bytes that the kernel has accepted; `message` builds
-    /// the call from its id, which is encoded as JSON.
+    /// Queues a call for writing. `progress` counts the bytes that the kernel has accepted; `encode` builds the
+    /// call from its id, which is encoded as JSON, or says why it may no longer be sent. It is called when the
+    /// socket accepts the first byte of the call.
     pub fn send(
         self: &Rc<Self>,
         progress: CallBytesWritten,
-        message: impl FnOnce(&str) -> Vec<u8>,
+        encode: impl Fn(&str) -> Result<Vec<u8>, NotSentReason> + 'static,
     ) -> InFlightCall {
-        InFlightCall::start(Rc::clone(self), progress, message)
+        InFlightCall::start(Rc::clone(self), progress, encode)
     }
 }
 
--- a/crates/proxy/src/upstream/rpc_connection/state.rs
+++ b/crates/proxy/src/upstream/rpc_connection/state.rs
@@ -8,7 +8,6 @@
 use std::pin::Pin;
 use std::task::{ready, Context, Poll};
 
-use bytes::Bytes;
 use jsonrpc::{code, Framing, InvalidMessage, Limits, Message, Parsed, Response};
 use serde_json::value::RawValue;
 use tokio::io::AsyncWrite;
@@ -16,9 +15,11 @@
 use tokio::time::Instant;
 
 use super::call::{CallBytesWritten, CallResult};
+use super::outgoing_frame::OutgoingFrame;
 use super::RpcSettings;
 use crate::exchange::MAX_BUFFERED_BODY_BYTES;
 use crate::socket::Socket;
+use crate::upstream::attempt_error::NotSentReason;
 
 /// The largest frame in bytes: the largest result and the message that encloses it.
 const MAX_FRAME_BYTES: usize = MAX_BUFFERED_BODY_BYTES + (4 << 10);
@@ -45,13 +46,14 @@
     pub result: oneshot::Sender<CallResult>,
     /// The number of bytes of the call that were written.
     pub progress: CallBytesWritten,
-    /// The number of bytes that must be written before an endpoint may execute the call.
-    pub message_len: usize,
+    /// The number of bytes that must be written before an endpoint may execute the call; `None` before the call
+    /// is encoded.
+    pub message_len: Option<usize>,
 }
 
 impl PendingCall {
     fn is_written(&self) -> bool {
-        self.progress.bytes() >= self.message_len
+        self.message_len.is_some_and(|message_len| self.progress.bytes() >= message_len)
     }
 
     fn end(self, result: CallResult) {
@@ -60,16 +62,6 @@
     }
 }
 
-/// A frame to write.
-pub struct OutgoingFrame {
-    /// The id of the call in the frame; `None` for a notification.
-    pub call_id: Option<String>,
-    /// The encoded frame.
-    pub frame: Bytes,
-    /// The number of bytes of the frame that were written.
-    pub progress: CallBytesWritten,
-}
-
 /// Whether a connection can still be read after a message.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ReadState {
@@ -166,15 +158,10 @@
         }
     }
 
-    /// Encodes a message as a frame.
-    pub fn frame(&self, message: &[u8]) -> Bytes {
-        jsonrpc::encode_frame(self.settings.framing, message).into()
-    }
-
     /// The number of bytes of a frame after which an endpoint may execute the call. With [`Framing::Line`]
     /// this excludes the line end, because a lenient endpoint accepts a line without its end as a complete
     /// message.
-    pub fn message_len(&self, frame_len: usize) -> usize {
+    fn message_len(&self, frame_len: usize) -> usize {
         match self.settings.framing {
             Framing::Line => frame_len - 1,
             Framing::ContentLength => frame_len,
@@ -199,7 +186,7 @@
 
     /// Removes the frame of a call from the queue. Must be called only if nothing of the call was written.
     pub fn withdraw_frame(&self, id: &str) {
-        self.queue.borrow_mut().retain(|frame| frame.call_id.as_deref() != Some(id));
+        self.queue.borrow_mut().retain(|frame| frame.unwritten_call() != Some(id));
     }
 
     /// Queues the notification that cancels a call, if the endpoint supports it and the queue has capacity.
@@ -210,8 +197,8 @@
         }
         let params = RawValue::from_string(format!("{{\"id\":\"{id}\"}}")).ok();
         let message = jsonrpc::encode_request(None, method, params.as_deref());
-        let frame = self.frame(&message);
-        self.enqueue(OutgoingFrame { call_id: None, frame, progress: CallBytesWritten::default() });
+        let frame = jsonrpc::encode_frame(self.settings.framing, &message);
+        self.enqueue(OutgoingFrame::notification(frame.into()));
     }
 
     fn enqueue(&self, frame: OutgoingFrame) {
@@ -242,19 +229,41 @@
     }
 
     /// Writes some bytes of the first frame. A frame leaves the queue only when all of it is written, so that
-    /// a call can be withdrawn until its first byte is written.
+    /// a call can be withdrawn until its first byte is written. Whether a call may still be sent is checked when
+    /// the socket is writable, because the endpoint may have read nothing for long.
     pub fn poll_write(&self, socket: &mut Socket, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        ready!(socket.poll_write_ready(cx))?;
         let mut queue = self.queue.borrow_mut();
-        let Some(first) = queue.front() else { return Poll::Pending };
-        let rest = &first.frame[first.progress.bytes()..];
-        let written = ready!(Pin::new(socket).poll_write(cx, rest))?;
-        first.progress.add(written);
-        if written == rest.len() {
+        let Some(first) = queue.front_mut() else { return Poll::Pending };
+        let frame = match first.encode(self.framing()) {
+            Ok(frame) => frame,
+            Err(reason) => {
+                let withdrawn = queue.pop_front();
+                drop(queue);
+                self.withdraw(withdrawn.as_ref().and_then(OutgoingFrame::unwritten_call), reason);
+                return Poll::Ready(Ok(()));
+            }
+        };
+        let written = ready!(Pin::new(socket).poll_write(cx, &frame[first.written()..]))?;
+        if let Some(id) = first.unwritten_call() {
+            if let Some(call) = self.pending_calls.borrow_mut().get_mut(id) {
+                call.message_len = Some(self.message_len(frame.len()));
+            }
+        }
+        if first.on_written(frame, written) {
             queue.pop_front();
         }
         Poll::Ready(Ok(()))
     }
 
+    /// Ends a call of which nothing was written, because it may no longer be sent.
+    fn withdraw(&self, call_id: Option<&str>, reason: NotSentReason) {
+        let call = call_id.and_then(|id| self.pending_calls.borrow_mut().remove(id));
+        if let Some(call) = call {
+            call.end(CallResult::Withdrawn(reason));
+        }
+    }
+
     // ---- Reading ----
 
     /// Handles a message from the endpoint.
--- a/crates/proxy/src/upstream/rpc_connection/tests.rs
+++ b/crates/proxy/src/upstream/rpc_connection/tests.rs
@@ -1,5 +1,6 @@
 //! Tests of a JSON-RPC connection whose endpoint stops reading.
 
+use std::cell::Cell;
 use std::time::Duration;
 
 use jsonrpc::Framing;
@@ -35,7 +36,8 @@
 fn call(connection: &Rc<RpcConnection>, bytes: usize) -> (InFlightCall, CallBytesWritten) {
     let progress = CallBytesWritten::default();
     let pad = RawValue::from_string(format!("[\"{}\"]", "x".repeat(bytes))).expect("JSON");
-    let sent = connection.send(progress.clone(), |id| jsonrpc::encode_request(Some(id), "m", Some(&pad)));
+    let sent =
+        connection.send(progress.clone(), move |id| Ok(jsonrpc::encode_request(Some(id), "m", Some(&pad))));
     (sent, progress)
 }
 
@@ -139,6 +141,36 @@
     });
 }
 
+/// A call that waits behind another one can be written long after it was queued. It must not be written if the
+/// reason for its withdrawal came meanwhile, and the calls behind it must be.
+#[test]
+fn queued_call_is_checked_when_it_can_be_written() {
+    block_on_local(async {
+        let (connection, mut endpoint) = connection_with_small_buffers(Framing::Line).await;
+        let (first_call, first_progress) = call(&connection, 400_000);
+        wait_until(|| first_progress.bytes() > 0).await;
+        let is_expired = Rc::new(Cell::new(false));
+        let check = Rc::clone(&is_expired);
+        let expired_call = connection.send(CallBytesWritten::default(), move |id| {
+            let message = jsonrpc::encode_request(Some(id), "expired", None);
+            (!check.get()).then_some(message).ok_or(NotSentReason::DeduplicationExpired)
+        });
+        let (_last_call, last_progress) = call(&connection, 10);
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        is_expired.set(true);
+        let mut received = Vec::new();
+        let mut buffer = vec![0; 1 << 16];
+        while last_progress.bytes() == 0 || received.iter().filter(|byte| **byte == b'\n').count() < 2 {
+            let n = endpoint.read(&mut buffer).await.expect("more");
+            received.extend_from_slice(&buffer[..n]);
+        }
+        let result = expired_call.result().await;
+        assert!(matches!(result, CallResult::Withdrawn(NotSentReason::DeduplicationExpired)), "{result:?}");
+        assert!(!String::from_utf8_lossy(&received).contains("expired"), "written although it has expired");
+        drop(first_call);
+    });
+}
+
 /// An endpoint that can guess the ids of other calls can respond to calls that it has not received.
 #[test]
 fn call_ids_are_unique_and_not_sequential() {
--- a/crates/proxy/src/upstream/tests.rs
+++ b/crates/proxy/src/upstream/tests.rs
@@ -56,6 +56,32 @@
     });
 }
 
+/// A process that is held up between the check and the write must not write a repeat after the endpoints have
+/// forgotten the first attempt.
+#[test]
+fn repeat_is_not_sent_shortly_before_the_end_of_its_window() {
+    let transport = Transport { keepalive: 0, connect_timeout: 0, drain_grace: 0 };
+    let pool = UpstreamPool::new(transport, 9);
+    let entry = Endpoint { id: EndpointId(1), ..Endpoint::default() };
+    pool.update_endpoint(&entry, "127.0.0.1:9".parse().expect("an address"));
+    let check = |write_before: Option<Duration>| {
+        let now = Instant::now();
+        let request = AttemptRequest {
+            endpoint: entry.id,
+            message: Rc::new(UpstreamRequest::new(crate::body::MessageBody::default())),
+            disconnect_probe: DisconnectProbe::default(),
+            deadline: now + Duration::from_secs(60),
+            write_before: write_before.map(|time| now + time),
+            client_timeout: None,
+            write_started: WriteStarted::default(),
+        };
+        send_checks::check_before_write(&pool, &request).map(|_| ())
+    };
+    assert_eq!(check(None), Ok(()));
+    assert_eq!(check(Some(Duration::from_secs(30))), Ok(()));
+    assert_eq!(check(Some(MAX_WRITE_DELAY)), Err(NotSentReason::DeduplicationExpired));
+}
+
 /// The outcome decides whether an attempt is retried and whether its endpoint is blamed. An error that leaves
 /// open whether the request was executed must not map to an outcome that rules it out.
 #[test]
--- a/src/bin/amberlever-simulator/action.rs
+++ b/src/bin/amberlever-simulator/action.rs
@@ -21,7 +21,7 @@
 /// Writes an action as one line.
 pub fn write_action(output: &mut impl Write, action: &Action) -> io::Result<()> {
     match action {
-        Action::Send { request, endpoint, deadline } => {
+        Action::Send { request, endpoint, deadline, .. } => {
             writeln!(output, "TRANSMIT {} {} {}", request.0, endpoint.0, Milliseconds(*deadline))
         }
         Action::Reject { request, retry_after } => {
