A busy JSON-RPC connection is closed at a shutdown, and a process always ends

The same client did not move to a successor on an inherited socket.

Cause: two flags said that a connection closes. The drain set one of them for busy connections, and the JSON-RPC loop read the other. Once it knew, it also went on reading for as long as input came, and a process without a kill deadline waited for open requests without a bound.

Change: one state, `ClosePhase`, read by both protocols. A JSON-RPC connection that closes reads the bytes that had arrived when that was decided and no more, answers what it read, and announces the count. A process ends 63.7 s after the longest client timeout at the latest, and logs the connections that it leaves.

--- a/crates/proxy/src/downstream/connection.rs
+++ b/crates/proxy/src/downstream/connection.rs
@@ -20,13 +20,24 @@
     is_busy: Cell<bool>,
     has_received_request: Cell<bool>,
     last_used_at: Cell<Instant>,
-    is_closing: Cell<bool>,
+    close_phase: Cell<ClosePhase>,
+    close_phase_changed: Notify,
     response_progress: Cell<Option<ResponseWriteProgress>>,
-    close_request: Notify,
     idle_abort_request: Notify,
     abort_request: Notify,
 }
 
+/// Whether a connection is to be closed by this side, in the order of urgency.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum ClosePhase {
+    /// The connection stays open.
+    Open,
+    /// The connection closes after the response to its current or next request.
+    AfterResponse,
+    /// The connection closes as soon as no request is open.
+    WhenIdle,
+}
+
 /// The write progress of a streamed response at the last check.
 #[derive(Clone, Copy)]
 struct ResponseWriteProgress {
@@ -44,9 +55,9 @@
             is_busy: Cell::new(false),
             has_received_request: Cell::new(false),
             last_used_at: Cell::new(Instant::now()),
-            is_closing: Cell::new(false),
+            close_phase: Cell::new(ClosePhase::Open),
+            close_phase_changed: Notify::new(),
             response_progress: Cell::new(None),
-            close_request: Notify::new(),
             idle_abort_request: Notify::new(),
             abort_request: Notify::new(),
         }
@@ -131,20 +142,39 @@
 
     // ---- Close ----
 
-    /// Whether the connection closes after the response to its current or next request.
+    /// Whether the connection is to be closed by this side.
+    pub fn close_phase(&self) -> ClosePhase {
+        self.close_phase.get()
+    }
+
+    /// Whether the connection closes after the response to its current or next request, or sooner.
     pub fn is_closing(&self) -> bool {
-        self.is_closing.get()
+        self.close_phase() != ClosePhase::Open
     }
 
     /// Closes the connection after the response to its current or next request.
     pub fn close_after_response(&self) {
-        self.is_closing.set(true);
+        self.enter_close_phase(ClosePhase::AfterResponse);
     }
 
     /// Closes the connection once all of its requests have their responses.
     pub fn close(&self) {
-        self.close_after_response();
-        self.close_request.notify_one();
+        self.enter_close_phase(ClosePhase::WhenIdle);
+    }
+
+    fn enter_close_phase(&self, phase: ClosePhase) {
+        if self.close_phase() < phase {
+            self.close_phase.set(phase);
+            self.close_phase_changed.notify_one();
+        }
+    }
+
+    /// Completes when the connection is in this phase or a later one. To be awaited by the task that serves the
+    /// connection alone.
+    pub async fn close_phase_reached(&self, phase: ClosePhase) {
+        while self.close_phase() < phase {
+            self.close_phase_changed.notified().await;
+        }
     }
 
     /// Closes the connection immediately.
@@ -157,11 +187,6 @@
         self.idle_abort_request.notify_one();
     }
 
-    /// Completes after [`Self::close`].
-    pub async fn close_requested(&self) {
-        self.close_request.notified().await;
-    }
-
     /// Completes once the connection has to be closed immediately.
     pub async fn aborted(&self) {
         tokio::select! {
--- a/crates/proxy/src/downstream/drain.rs
+++ b/crates/proxy/src/downstream/drain.rs
@@ -145,6 +145,7 @@
         };
         let busy_count = open.iter().filter(has_work).count();
         if drain.shutdown.borrow().may_exit(now, open.len(), busy_count) {
+            log_abandoned(busy_count);
             return;
         }
         for connection in open {
@@ -159,6 +160,15 @@
     }
 }
 
+/// Logs the connections that are cut off because they have kept a request open for too long.
+fn log_abandoned(busy_count: usize) {
+    if busy_count > 0 {
+        log_line(format_args!(
+            "graceful shutdown: exiting although {busy_count} connections still transfer a request or response"
+        ));
+    }
+}
+
 /// Applies the action that the shutdown decides on for a connection.
 fn close_connection(drain: &DrainState, connection: &DownstreamConnection, now: Micros) {
     let shutdown = drain.shutdown.borrow();
--- a/crates/proxy/src/downstream/http/mod.rs
+++ b/crates/proxy/src/downstream/http/mod.rs
@@ -15,7 +15,7 @@
 use tokio::time::Instant;
 
 use self::response::{empty_response, error_response, served_response, ClientResponse};
-use super::connection::DownstreamConnection;
+use super::connection::{ClosePhase, DownstreamConnection};
 use super::dispatch::dispatch;
 use super::error::{into_result, RequestError};
 use super::request::{AcceptOutcome, RequestReader};
@@ -41,7 +41,7 @@
         biased;
         _ = http.as_mut() => return,
         () = connection.aborted() => return,
-        () = connection.close_requested() => {}
+        () = connection.close_phase_reached(ClosePhase::WhenIdle) => {}
     }
     // hyper's graceful shutdown would drop a request that has arrived only in part. The response to such a
     // request closes the connection instead, with `Connection: close`.
--- a/crates/proxy/src/downstream/rpc/mod.rs
+++ b/crates/proxy/src/downstream/rpc/mod.rs
@@ -3,7 +3,9 @@
 //!
 //! The number of open calls is limited: at the limit no further message is read until a response has been
 //! written. Only the last batch read may exceed the limit.
-//! Before this proxy closes a connection, it sends a notification with the number of messages read.
+//! Before this proxy closes a connection, it reads what had arrived when it decided on the close and no more,
+//! answers the open calls, and sends a notification with the number of messages read. A client that goes on
+//! sending thus cannot delay the close.
 
 mod batch;
 mod call;
@@ -28,9 +30,9 @@
 use self::call::PreparedCall;
 use self::output::OutputQueue;
 use self::response::{encode_duplicate_id, encode_invalid_message};
-use super::connection::DownstreamConnection;
+use super::connection::{ClosePhase, DownstreamConnection};
 use super::ListenerState;
-use crate::socket::{Socket, UnreadInput, NO_HEAD_CAPTURE};
+use crate::socket::{Socket, NO_HEAD_CAPTURE};
 
 /// A client that reads nothing of its responses for this long is disconnected. The time restarts when a call
 /// ends.
@@ -62,6 +64,7 @@
         output: OutputQueue::default(),
         is_framing_broken: false,
         is_over_connection_limit: false,
+        closing_input_bytes: None,
     };
     // Calls that are still open when this returns are cancelled, because their client has disconnected.
     tokio::select! {
@@ -88,6 +91,9 @@
     is_framing_broken: bool,
     /// Whether the limit on connections rejects this connection.
     is_over_connection_limit: bool,
+    /// The number of bytes that are still read, once it is decided that this side closes the connection: those
+    /// that had arrived by then.
+    closing_input_bytes: Option<u64>,
 }
 
 /// The executed calls of one message.
@@ -103,17 +109,16 @@
         // The responses to all open calls together may exceed the kernel's buffer.
         socket.limit_unsent_bytes();
         let (mut reader, mut writer) = (socket.clone(), socket.clone());
-        let mut is_close_requested = false;
         let mut is_paused = false;
         let mut last_progress_at = Instant::now();
         loop {
             self.decode_messages();
             let is_busy = self.open_calls > 0 || !self.output.is_empty();
             self.connection.set_busy(is_busy);
-            let is_closing = is_close_requested || self.is_over_connection_limit;
-            let can_read =
-                self.can_take_message() && (!is_closing || socket.unread_input() == UnreadInput::Data);
-            if (is_closing || self.is_framing_broken) && !can_read && !is_busy {
+            self.limit_input_if_closing(&socket, is_busy);
+            let can_read = self.can_take_message() && self.closing_input_bytes != Some(0);
+            let is_closing = self.closing_input_bytes.is_some() || self.is_framing_broken;
+            if is_closing && !can_read && !is_busy {
                 break;
             }
             if can_read && is_paused {
@@ -121,9 +126,10 @@
                 socket.start_next_message(NO_HEAD_CAPTURE);
             }
             is_paused = !can_read;
+            let next_phase = next_close_phase(self.connection.close_phase());
             tokio::select! {
                 biased;
-                () = self.connection.close_requested(), if !is_close_requested => is_close_requested = true,
+                () = self.connection.close_phase_reached(next_phase), if self.closing_input_bytes.is_none() => {}
                 Some(finished) = self.running.join_next() => {
                     if let Ok(finished) = finished {
                         self.on_calls_finished(finished);
@@ -141,13 +147,31 @@
                 read = reader.read_some(|bytes| self.decoder.push(bytes)), if can_read => match read {
                     // A client that closes its sending side counts as disconnected, the same as over HTTP.
                     Ok(0) | Err(_) => return,
-                    Ok(_) => {}
+                    Ok(bytes) => self.on_input(bytes as u64),
                 },
             }
         }
         self.close(&mut writer, &mut reader).await;
     }
 
+    /// Decides which input is still read once this side closes the connection.
+    fn limit_input_if_closing(&mut self, socket: &Socket, is_busy: bool) {
+        let is_closing = match self.connection.close_phase() {
+            ClosePhase::Open => self.is_over_connection_limit,
+            ClosePhase::AfterResponse => is_busy || self.is_over_connection_limit,
+            ClosePhase::WhenIdle => true,
+        };
+        if is_closing && self.closing_input_bytes.is_none() {
+            self.closing_input_bytes = Some(socket.unread_bytes().unwrap_or(0));
+        }
+    }
+
+    fn on_input(&mut self, bytes: u64) {
+        if let Some(left) = &mut self.closing_input_bytes {
+            *left = left.saturating_sub(bytes);
+        }
+    }
+
     /// Announces the close with the number of messages read, then closes. The client can thus distinguish the
     /// close from a failure and determine which of its messages were not read.
     async fn close(&mut self, writer: &mut Socket, reader: &mut Socket) {
@@ -311,6 +335,14 @@
     }
 }
 
+/// The phase in which a connection that is in this phase behaves differently.
+fn next_close_phase(phase: ClosePhase) -> ClosePhase {
+    match phase {
+        ClosePhase::Open => ClosePhase::AfterResponse,
+        ClosePhase::AfterResponse | ClosePhase::WhenIdle => ClosePhase::WhenIdle,
+    }
+}
+
 /// Normalizes an id, so that differently escaped forms of the same string compare equal. The leading quote
 /// keeps strings distinct from numbers.
 fn normalize_id(id: &RawValue) -> String {
--- a/crates/shutdown/src/lib.rs
+++ b/crates/shutdown/src/lib.rs
@@ -5,6 +5,8 @@
 //! belongs to one listener. The same state machine covers tiers of one or two proxies, larger tiers, and a
 //! proxy that shares its listening socket with its successor.
 //!
+//! A process also exits if clients keep their requests open: a bound after the longest client timeout.
+//!
 //! ```text
 //! begin  accepts and serves        closes idle connections     sends the last responses
 //!   |------------------------------|---------------------------|------------------------------|
--- a/crates/shutdown/src/policy.rs
+++ b/crates/shutdown/src/policy.rs
@@ -14,6 +14,11 @@
 /// The time before the kill at which requests are no longer accepted if clients have no other proxy. Requests
 /// that cannot be answered in time are rejected at once.
 const LAST_REQUEST_MARGIN_NO_OTHER_PROXY: Micros = 500 * MILLISECOND;
+/// The maximum time after the signal for which requests are accepted and answered, beside the longest client
+/// timeout.
+const LAST_RESPONSE_DELAY: Micros = 3_700 * MILLISECOND;
+/// The time that the transfer of a body may take after that. It is up to the client, so it has a bound.
+const MAX_TRANSFER_TIME: Micros = 60_000 * MILLISECOND;
 /// The minimum time between the last responses and the kill. [`LATENESS_FACTOR`] times the lateness of the
 /// process applies if it is more.
 const MIN_RESPONSE_MARGIN: Micros = 200 * MILLISECOND;
@@ -55,6 +60,11 @@
         MIN_ACCEPT_TIME.max(self.time_until_kill() - margin)
     }
 
+    /// Returns the time from the beginning of the shutdown until the process no longer waits for clients.
+    pub(crate) fn exit_time(&self) -> Micros {
+        self.longest_client_timeout.max(0).saturating_add(LAST_RESPONSE_DELAY + MAX_TRANSFER_TIME)
+    }
+
     /// Returns the time from the beginning of the shutdown until all accepted requests have a response, given
     /// the lateness of the process.
     pub(crate) fn response_time(&self, lateness: Micros) -> Micros {
--- a/crates/shutdown/src/state.rs
+++ b/crates/shutdown/src/state.rs
@@ -121,15 +121,22 @@
         }
     }
 
+    /// Returns when the process exits although requests are open: each has had the time of its client by then,
+    /// and only the transfer of a body goes on. `None` before the shutdown begins.
+    #[must_use]
+    pub fn exits_at(&self) -> Option<Micros> {
+        Some(self.began_at?.saturating_add(self.policy.exit_time()))
+    }
+
     /// Returns whether the process may exit, given the number of open connections and the number of those
     /// with an open request. If a request is still open after responses were due, its response is being sent
-    /// and cannot be sped up: the process waits until it ends, or until the kill.
+    /// and cannot be sped up: the process waits until it ends, or until [`Shutdown::exits_at`].
     #[must_use]
     pub fn may_exit(&self, now: Micros, open: usize, with_open_request: usize) -> bool {
         let is_past = |time: Option<Micros>| time.is_some_and(|time| time <= now);
         let accepts_no_more =
             is_past(self.accepts_until()) || (self.policy.shares_listener && self.has_begun());
         let none_left = open == 0 || (with_open_request == 0 && is_past(self.responses_due_at()));
-        accepts_no_more && none_left
+        accepts_no_more && (none_left || is_past(self.exits_at()))
     }
 }
