A keyed request that reaches its endpoints without its key is not repeated

Cause: the retry counted on the semantics of the class. Whether the key is sent is decided later, by the mapping.

Change: the driver asks its pool whether the request carries its key, and the decisions treat a deduplicated request without one as at most once. As no endpoint knows the key, the proxy's own table keeps it for the window once the request may have run, and answers a repeat by the client with 409 `key-unknown`. What endpoints are sent is unchanged.

Evidence: the two new tests of repeats.rs fail with the program as it was (a second call without a key; 503 where 502 is due) and pass now. The model of the invariants plays one request in eight without its key.

--- a/crates/decide/src/attempts.rs
+++ b/crates/decide/src/attempts.rs
@@ -54,6 +54,8 @@
 pub(crate) struct PendingRequest {
     /// The class of the request.
     pub class: ClassIndex,
+    /// Whether endpoints cannot discard repeats of the request, because its key is not sent.
+    pub lacks_key: bool,
     /// The endpoints to which the request may be sent; `None` permits all.
     pub endpoint_filter: Option<Arc<EndpointFilter>>,
     /// The highest number of attempts; `usize::MAX` if the request sets no limit.
@@ -76,6 +78,7 @@
     pub fn new(now: Micros, request: &NewRequest, class: &Class) -> Self {
         PendingRequest {
             class: ClassIndex(request.class),
+            lacks_key: request.lacks_key,
             endpoint_filter: request.endpoint_filter.clone(),
             max_attempts: if request.max_attempts == 0 { usize::MAX } else { request.max_attempts },
             deadline: attempt_deadline(now, request, class),
--- a/crates/decide/src/request.rs
+++ b/crates/decide/src/request.rs
@@ -53,6 +53,10 @@
     pub work: Option<Micros>,
     /// Whether the client marked the request as a retry.
     pub is_retry: bool,
+    /// Whether the request is sent without its idempotency key, so that endpoints cannot discard its repeats. A
+    /// class with [`Semantics::Deduplicated`](crate::Semantics::Deduplicated) then counts as one with
+    /// [`Semantics::AtMostOnce`](crate::Semantics::AtMostOnce).
+    pub lacks_key: bool,
     /// The endpoints to which the request may be sent; `None` permits all.
     pub endpoint_filter: Option<Arc<EndpointFilter>>,
     /// The highest number of attempts, if lower than that of the settings; 0 sets no limit.
--- a/crates/decide/src/retry.rs
+++ b/crates/decide/src/retry.rs
@@ -9,14 +9,14 @@
 //!   class.
 //! - A request that was executed, or may have been, is repeated only if the [`Semantics`] of its class allow
 //!   it. The repeat must be written before the endpoints forget the first attempt, so the end of that time is
-//!   a part of the action.
+//!   a part of the action. A request that is sent without its key is not repeated by the key.
 //!
 //! Bounds: `max_attempts` of the settings and of the request. A request has at most one attempt at a time,
 //! also if `hedging_allowed` permits two, because this version does not hedge.
 
 use crate::attempts::{Attempt, PendingRequest};
 use crate::endpoint_table::EndpointTable;
-use crate::index::{ClassIndex, EndpointIndex};
+use crate::index::EndpointIndex;
 use crate::time::Micros;
 use crate::{DeduplicationGroup, Endpoint, EndpointState, Outcome, Semantics, Settings};
 
@@ -98,7 +98,7 @@
     /// The time from which on nothing of a further attempt may be written: the endpoints that may have
     /// executed the request discard repeats only for a while. `None` if there is no such limit.
     pub fn write_before(&self, request: &PendingRequest) -> Option<Micros> {
-        let Semantics::Deduplicated { window, .. } = self.semantics(request.class) else { return None };
+        let Semantics::Deduplicated { window, .. } = self.semantics(request) else { return None };
         let may_have_run = request.attempts.iter().filter(|attempt| attempt.may_have_run());
         may_have_run.map(|attempt| attempt.sent_at + window).min()
     }
@@ -106,7 +106,7 @@
     /// Whether a rejection of this request may guarantee that a retry does no harm.
     pub fn may_reject(&self, request: &PendingRequest) -> bool {
         let may_have_run = request.attempts.iter().any(Attempt::may_have_run);
-        match self.semantics(request.class) {
+        match self.semantics(request) {
             Semantics::Idempotent => true,
             Semantics::AtMostOnce => !may_have_run,
             Semantics::Deduplicated { group, .. } => !may_have_run || group == DeduplicationGroup::All,
@@ -117,7 +117,7 @@
     /// written before [`RetryPolicy::write_before`].
     fn may_run_again(&self, request: &PendingRequest, endpoints: &EndpointTable, entry: &Endpoint) -> bool {
         let mut may_have_run = request.attempts.iter().filter(|attempt| attempt.may_have_run());
-        match self.semantics(request.class) {
+        match self.semantics(request) {
             Semantics::Idempotent => true,
             Semantics::AtMostOnce => may_have_run.next().is_none(),
             Semantics::Deduplicated { group, .. } => may_have_run.all(|attempt| {
@@ -127,8 +127,12 @@
         }
     }
 
-    fn semantics(&self, class: ClassIndex) -> Semantics {
-        self.semantics[class.0]
+    /// The semantics that hold for this request: without a key, no endpoint recognizes a repeat.
+    fn semantics(&self, request: &PendingRequest) -> Semantics {
+        match self.semantics[request.class.0] {
+            Semantics::Deduplicated { .. } if request.lacks_key => Semantics::AtMostOnce,
+            semantics => semantics,
+        }
     }
 }
 
--- a/crates/decide/tests/common/event_sequence/traffic.rs
+++ b/crates/decide/tests/common/event_sequence/traffic.rs
@@ -68,6 +68,7 @@
             time_left,
             work: self.random.bool().then_some(20_000),
             is_retry: self.chance(0.1),
+            lacks_key: false,
             endpoint_filter: self.endpoint_filter(),
             max_attempts: if self.chance(0.1) { self.random.usize(1..4) } else { 0 },
             body_pending,
--- a/crates/decide/tests/common/model.rs
+++ b/crates/decide/tests/common/model.rs
@@ -18,7 +18,8 @@
 }
 
 struct PendingRequest {
-    class: usize,
+    /// The semantics of its class, or what remains of them if its key is not sent.
+    semantics: Semantics,
     deadline: Micros,
     streaming: bool,
     attempts: Vec<Attempt>,
@@ -94,11 +95,10 @@
         let pending = &self.pending[&request];
         let may_have_run =
             pending.attempts.iter().filter(|attempt| attempt.in_flight || attempt.may_have_run);
-        let window_ends =
-            may_have_run.filter_map(|attempt| match self.settings.classes[pending.class].semantics {
-                Semantics::Deduplicated { window, .. } => Some(attempt.sent_at + window),
-                Semantics::Idempotent | Semantics::AtMostOnce => None,
-            });
+        let window_ends = may_have_run.filter_map(|attempt| match pending.semantics {
+            Semantics::Deduplicated { window, .. } => Some(attempt.sent_at + window),
+            Semantics::Idempotent | Semantics::AtMostOnce => None,
+        });
         assert_eq!(write_before, window_ends.min(), "the end of the deduplication window");
     }
 
@@ -112,7 +112,7 @@
         assert!(self.settings.hedging_allowed || !in_flight, "two attempts in flight without hedging");
         for earlier in pending.attempts.iter().filter(|a| a.in_flight || a.may_have_run) {
             let other = &self.endpoints[&earlier.endpoint.0];
-            match self.settings.classes[pending.class].semantics {
+            match pending.semantics {
                 Semantics::Idempotent => {}
                 Semantics::AtMostOnce => panic!("retried although an attempt may have run"),
                 Semantics::Deduplicated { group, window } => {
@@ -132,7 +132,7 @@
     fn check_reject(&mut self, request: RequestId) {
         let pending = self.pending.remove(&request).expect("request answered twice");
         let may_have_run = pending.attempts.iter().any(|a| a.in_flight || a.may_have_run);
-        match self.settings.classes[pending.class].semantics {
+        match pending.semantics {
             Semantics::Idempotent | Semantics::Deduplicated { group: DeduplicationGroup::All, .. } => {}
             _ => assert!(!may_have_run, "rejected although an attempt may have run"),
         }
@@ -148,11 +148,14 @@
         let class = a as usize % self.settings.classes.len();
         let id = RequestId(self.next);
         let time_left = Micros::from(b % 2_000_000);
-        self.pending.insert(
-            id,
-            PendingRequest { class, deadline: self.now + time_left, streaming: false, attempts: vec![] },
-        );
-        self.handle(Event::Request(NewRequest { id, class, time_left, ..NewRequest::default() }));
+        let lacks_key = a.is_multiple_of(8);
+        let semantics = match self.settings.classes[class].semantics {
+            Semantics::Deduplicated { .. } if lacks_key => Semantics::AtMostOnce,
+            semantics => semantics,
+        };
+        let deadline = self.now + time_left;
+        self.pending.insert(id, PendingRequest { semantics, deadline, streaming: false, attempts: vec![] });
+        self.handle(Event::Request(NewRequest { id, class, time_left, lacks_key, ..NewRequest::default() }));
     }
 
     /// Ends one attempt in flight, or sends an outcome for a request that has already been answered.
--- a/crates/idempotency/src/table.rs
+++ b/crates/idempotency/src/table.rs
@@ -40,6 +40,8 @@
     Completed(R),
     /// A request with the key was served, but its response is no longer stored.
     ResponseEvicted,
+    /// A request with the key may have been executed, and its result is unknown.
+    ResultUnknown,
     /// The table holds [`TableLimits::max_keys`] keys, and this key is not one of them.
     TableFull {
         /// The time until a key expires, in microseconds; 0 if it is unknown because all keys are in
@@ -68,7 +70,7 @@
     key: Box<str>,
 }
 
-/// The end of the retention of a completed key, ordered by time. The reservation keeps the expiries of two
+/// The end of the retention of a key whose request has ended, ordered by time. The reservation keeps the expiries of two
 /// keys distinct if they are at the same time.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct Expiry {
@@ -80,6 +82,7 @@
 enum Entry<R> {
     InProgress,
     Completed { response: Option<StoredResponse<R>> },
+    ResultUnknown,
 }
 
 /// A table of idempotency keys, with responses of type `R`.
@@ -133,6 +136,7 @@
                 ReserveOutcome::Completed(stored.response.clone())
             }
             Some(Entry::Completed { response: None }) => ReserveOutcome::ResponseEvicted,
+            Some(Entry::ResultUnknown) => ReserveOutcome::ResultUnknown,
             None if self.entries.len() >= self.limits.max_keys => {
                 ReserveOutcome::TableFull { retry_after: self.time_to_next_expiry(now) }
             }
@@ -162,8 +166,18 @@
         self.remove_expired(now);
     }
 
-    /// Releases the key of a request that was not served, or whose result is unknown. Has no effect if the
-    /// reservation has ended.
+    /// Ends a request that may have been executed and must not be executed again, and retains its key for
+    /// `retention` microseconds from `now`. Has no effect if the reservation has ended.
+    pub fn retain_unknown(&mut self, now: Micros, reservation: ReservationId, retention: Micros) {
+        let Some(scoped_key) = self.in_progress.remove(&reservation) else { return };
+        let expiry = Expiry { at: now.saturating_add(retention.max(0)), reservation };
+        self.completed.insert(expiry, scoped_key.clone());
+        self.entries.insert(scoped_key, Entry::ResultUnknown);
+        self.remove_expired(now);
+    }
+
+    /// Releases the key of a request that was not executed, or whose repeat the endpoints discard. Has no
+    /// effect if the reservation has ended.
     pub fn release(&mut self, reservation: ReservationId) {
         if let Some(scoped_key) = self.in_progress.remove(&reservation) {
             self.entries.remove(&scoped_key);
--- a/crates/idempotency/tests/table.rs
+++ b/crates/idempotency/tests/table.rs
@@ -56,3 +56,16 @@
     );
     assert_eq!(table.usage(), TableUsage { keys: 2, response_bytes: 80 });
 }
+
+/// Guards against a second execution of a request that may have been executed by endpoints that do not know its
+/// key.
+#[test]
+fn key_with_an_unknown_result_is_retained() {
+    let mut table = IdempotencyTable::<u32>::new(TableLimits::default());
+    let first = reservation(&table.reserve(0, "c", "k"));
+    table.retain_unknown(10, first, 50);
+    table.release(first);
+    assert_eq!(table.reserve(59, "c", "k"), ReserveOutcome::ResultUnknown);
+    reservation(&table.reserve(60, "c", "k"));
+    assert_eq!(table.usage(), TableUsage { keys: 1, response_bytes: 0 });
+}
--- a/crates/proxy/src/downstream/dispatch.rs
+++ b/crates/proxy/src/downstream/dispatch.rs
@@ -4,14 +4,15 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use decide::{Micros, NewRequest, RequestId};
+use decide::{Micros, RequestId};
+use tokio::sync::oneshot;
 use tokio::time::{sleep_until, Instant};
 
 use super::request::AcceptedRequest;
 use super::ListenerState;
-use crate::exchange::{DisconnectProbe, Execution, FinalResponse, UpstreamRequest};
+use crate::exchange::{DisconnectProbe, Execution, FinalResponse};
 use crate::inbox::DriverHandle;
-use crate::router::{PoolSequence, RejectionOutcome, NO_RETRY_AFTER};
+use crate::router::{RejectionOutcome, NO_RETRY_AFTER};
 
 /// The time reserved within the client's timeout for sending the response.
 const RESPONSE_TIME: Duration = Duration::from_millis(20);
@@ -57,8 +58,18 @@
     disconnect_probe: &DisconnectProbe,
     received_at: Instant,
 ) -> FinalResponse {
-    let AcceptedRequest { mut decision_input, message, mut pools, client_timeout, reserved_key, id_claim } =
-        request;
+    let AcceptedRequest {
+        mut decision_input,
+        message,
+        mut pools,
+        client_timeout,
+        mut reserved_key,
+        id_claim,
+    } = request;
+    let attempts = pools.attempt_counter();
+    if let Some(key) = &mut reserved_key {
+        key.observe_attempts(attempts.clone());
+    }
     if listener.drain.is_deadline_passed() {
         return FinalResponse::Rejected { retry_after: NO_RETRY_AFTER, execution: Execution::RuledOut };
     }
@@ -67,7 +78,14 @@
     let budget = TimeBudget::new(received_at, decision_input.body_pending, timeout);
     decision_input.time_left = budget.decision_time.as_micros() as Micros;
     let response = loop {
-        let response = submit(listener, &*pools, &decision_input, &message, disconnect_probe, &budget).await;
+        let driver = pools.driver();
+        let (id, response) = driver.submit(
+            decision_input.clone(),
+            Rc::clone(&message),
+            disconnect_probe.clone(),
+            attempts.clone(),
+        );
+        let response = wait_for_response(listener, CancelOnDrop { driver, id }, response, &budget).await;
         let FinalResponse::Rejected { execution, .. } = response else { break response };
         match pools.on_rejected(execution) {
             RejectionOutcome::Final => break response,
@@ -89,23 +107,13 @@
     response
 }
 
-/// Submits a request to the current pool and waits for the pool's response.
-async fn submit(
+/// Waits for a pool's response to a request that was submitted to it.
+async fn wait_for_response(
     listener: &ListenerState,
-    pools: &dyn PoolSequence,
-    decision_input: &NewRequest,
-    message: &Rc<UpstreamRequest>,
-    disconnect_probe: &DisconnectProbe,
+    _cancellation: CancelOnDrop<'_>,
+    response: oneshot::Receiver<FinalResponse>,
     budget: &TimeBudget,
 ) -> FinalResponse {
-    let driver = pools.driver().clone();
-    let (id, response) = driver.submit(
-        decision_input.clone(),
-        Rc::clone(message),
-        disconnect_probe.clone(),
-        pools.attempt_counter(),
-    );
-    let _cancellation = CancelOnDrop { driver: &driver, id };
     tokio::select! {
         biased;
         response = response => response.unwrap_or(FinalResponse::Failed),
--- a/crates/proxy/src/downstream/request/routed.rs
+++ b/crates/proxy/src/downstream/request/routed.rs
@@ -74,6 +74,8 @@
         id: RequestId(0),
         class: decision.class,
         tenant: decision.tenant,
+        // Known once the pool is.
+        lacks_key: false,
         time_left: 0,
         work: estimated_work(&head.headers)?,
         is_retry: header_value(&head.headers, RETRY_HEADER)? == Some(RETRY_VALUE),
--- a/crates/proxy/src/downstream/rpc/response.rs
+++ b/crates/proxy/src/downstream/rpc/response.rs
@@ -84,6 +84,9 @@
         StatusCode::CONFLICT if error.cause() == Some(idempotency_keys::RESPONSE_EVICTED_CAUSE) => {
             (code::CONFLICT, "a request with this key was served, and its answer is not held any more")
         }
+        StatusCode::CONFLICT if error.cause() == Some(idempotency_keys::RESULT_UNKNOWN_CAUSE) => {
+            (code::CONFLICT, "a request with this key may have run, and its result is not known")
+        }
         StatusCode::CONFLICT => (code::CONFLICT, "a request with this id or key is open"),
         StatusCode::FORBIDDEN => (code::INVALID_PARAMS, "not this tenant's"),
         StatusCode::PAYLOAD_TOO_LARGE => (code::TOO_LARGE, "more bytes than are taken"),
--- a/crates/proxy/src/driver/mod.rs
+++ b/crates/proxy/src/driver/mod.rs
@@ -17,7 +17,9 @@
 use std::rc::Rc;
 
 use decide::Balancer;
-use decide::{Action, EndpointId, Event, LoadReport, Micros, Outcome, RequestId, Settings, UpdateScope};
+use decide::{
+    Action, EndpointId, Event, LoadReport, Micros, Outcome, RequestId, Semantics, Settings, UpdateScope,
+};
 use tokio::sync::{mpsc, Notify};
 use tokio::task::spawn_local;
 
@@ -146,8 +148,14 @@
     }
 
     fn on_request(&mut self, submitted: SubmittedRequest) {
-        let SubmittedRequest { decision_input, message, disconnect_probe, attempts, response } = submitted;
+        let SubmittedRequest { mut decision_input, message, disconnect_probe, attempts, response } =
+            submitted;
         let id = decision_input.id;
+        decision_input.lacks_key =
+            self.has_keys(decision_input.class) && !self.upstream_pool.carries_idempotency_key(&message);
+        if decision_input.lacks_key {
+            attempts.note_missing_key();
+        }
         let request = OpenRequest::new(message, disconnect_probe, attempts, response);
         if let Some(body) = request.streamed_body() {
             let handle = self.handle();
@@ -157,6 +165,12 @@
         self.decide(Event::Request(decision_input));
     }
 
+    /// Whether endpoints discard repeats of the requests of this class by their key.
+    fn has_keys(&self, class: usize) -> bool {
+        let class = self.settings.classes.get(class);
+        class.is_some_and(|class| matches!(class.semantics, Semantics::Deduplicated { .. }))
+    }
+
     fn on_client_disconnected(&mut self, id: RequestId) {
         if let Some(request) = self.open_requests.remove(&id) {
             self.decide(Event::ClientDisconnected(id));
--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -68,17 +68,33 @@
 /// Counts the attempts that were started for a request over all pools. Clones share the count, so that it can
 /// still be read after the client has disconnected.
 #[derive(Clone, Debug, Default)]
-pub struct AttemptCounter(Rc<Cell<usize>>);
+pub struct AttemptCounter(Rc<AttemptCounts>);
+
+#[derive(Debug, Default)]
+struct AttemptCounts {
+    started: Cell<usize>,
+    is_key_missing: Cell<bool>,
+}
 
 impl AttemptCounter {
     /// The number of attempts started so far.
     pub fn started(&self) -> usize {
-        self.0.get()
+        self.0.started.get()
     }
 
     /// Counts the start of an attempt.
     pub fn increment(&self) {
-        self.0.set(self.0.get() + 1);
+        self.0.started.set(self.0.started.get() + 1);
+    }
+
+    /// Records that a pool sends the request without its idempotency key.
+    pub fn note_missing_key(&self) {
+        self.0.is_key_missing.set(true);
+    }
+
+    /// Whether endpoints may have received the request without its idempotency key.
+    pub fn started_without_key(&self) -> bool {
+        self.0.is_key_missing.get() && self.started() > 0
     }
 }
 
--- a/crates/proxy/src/idempotency_keys.rs
+++ b/crates/proxy/src/idempotency_keys.rs
@@ -12,13 +12,16 @@
 use idempotency::{IdempotencyTable, ReservationId, ReserveOutcome, StoredResponse, TableLimits};
 
 use crate::clock::Clock;
-use crate::exchange::{FinalResponse, UpstreamResponse};
+use crate::exchange::{AttemptCounter, Execution, FinalResponse, UpstreamResponse};
 use crate::router::{Rejection, NO_RETRY_AFTER};
 
 /// The cause of a rejection while a request with the same key is in progress.
 pub const IN_PROGRESS_CAUSE: &str = "key-open";
 /// The cause of a rejection if a request with the same key was served and its response is no longer stored.
 pub const RESPONSE_EVICTED_CAUSE: &str = "key-done";
+/// The cause of a rejection if a request with the same key may have been executed by endpoints that were not
+/// told its key, so that they would execute it again.
+pub const RESULT_UNKNOWN_CAUSE: &str = "key-unknown";
 /// The cause of a rejection if the table has no room for another key.
 pub const TABLE_FULL_CAUSE: &str = "keys";
 /// Time to wait before a retry while a request with the same key is in progress, in microseconds.
@@ -83,14 +86,15 @@
     /// Reserves the key of a request.
     ///
     /// # Errors
-    /// Returns an error if a request with the key is in progress, if its response is no longer stored, or if
-    /// the table is full.
+    /// Returns an error if a request with the key is in progress, if its response is no longer stored or was
+    /// never known, or if the table is full.
     pub fn reserve(self, key: &str) -> Result<KeyLookup, Rejection> {
         let now = self.table.clock.now();
         let outcome = self.table.table.borrow_mut().reserve(now, &self.class, key);
         match outcome {
             ReserveOutcome::Reserved(reservation) => {
-                Ok(KeyLookup::Reserved(ReservedKey { scope: self, reservation, completed: false }))
+                let attempts = AttemptCounter::default();
+                Ok(KeyLookup::Reserved(ReservedKey { scope: self, reservation, attempts, is_settled: false }))
             }
             ReserveOutcome::Completed(BufferedResponse { headers, body }) => {
                 let response = UpstreamResponse { headers, body: body.into() };
@@ -102,6 +106,9 @@
             ReserveOutcome::ResponseEvicted => {
                 Err(rejection(StatusCode::CONFLICT, RESPONSE_EVICTED_CAUSE, NO_RETRY_AFTER))
             }
+            ReserveOutcome::ResultUnknown => {
+                Err(rejection(StatusCode::CONFLICT, RESULT_UNKNOWN_CAUSE, NO_RETRY_AFTER))
+            }
             ReserveOutcome::TableFull { retry_after } => {
                 Err(rejection(StatusCode::TOO_MANY_REQUESTS, TABLE_FULL_CAUSE, retry_after))
             }
@@ -113,20 +120,42 @@
     Rejection { status, cause: Some(cause), retry_after }
 }
 
-/// The reserved key of a request in progress. Released on drop unless a response was recorded.
+/// The reserved key of a request in progress. When it is dropped without a recorded response, the key is free
+/// again, because endpoints discard repeats by it. If they were not told the key, it is kept for its retention.
 pub struct ReservedKey {
     scope: KeyScope,
     reservation: ReservationId,
-    completed: bool,
+    attempts: AttemptCounter,
+    is_settled: bool,
 }
 
 impl ReservedKey {
-    /// Stores the final response of the request if the request was served.
+    /// Sets the counter of the request's attempts, which tells whether they carry the key.
+    pub fn observe_attempts(&mut self, attempts: AttemptCounter) {
+        self.attempts = attempts;
+    }
+
+    /// Records the final response of the request. It is stored if the request was served.
     pub fn record_response(&mut self, response: &FinalResponse) {
-        let FinalResponse::Served(UpstreamResponse { headers, body }) = response else { return };
+        match response {
+            FinalResponse::Served(response) => self.store(response),
+            FinalResponse::Rejected { execution: Execution::RuledOut, .. } => self.release(),
+            FinalResponse::Rejected { execution: Execution::Possible, .. }
+            | FinalResponse::Failed
+            | FinalResponse::TimedOut => {}
+        }
+    }
+
+    fn release(&mut self) {
+        self.is_settled = true;
+        self.scope.table.table.borrow_mut().release(self.reservation);
+    }
+
+    fn store(&mut self, response: &UpstreamResponse) {
+        let UpstreamResponse { headers, body } = response;
         // Responses of classes with keys are never streamed.
         let Some(body) = body.buffered() else { return };
-        self.completed = true;
+        self.is_settled = true;
         let response = BufferedResponse { headers: headers.clone(), body };
         let bytes = response.size_bytes();
         let now = self.scope.table.clock.now();
@@ -137,8 +166,15 @@
 
 impl Drop for ReservedKey {
     fn drop(&mut self) {
-        if !self.completed {
-            self.scope.table.table.borrow_mut().release(self.reservation);
+        if self.is_settled {
+            return;
+        }
+        if self.attempts.started_without_key() {
+            let now = self.scope.table.clock.now();
+            let mut table = self.scope.table.table.borrow_mut();
+            table.retain_unknown(now, self.reservation, self.scope.window);
+        } else {
+            self.release();
         }
     }
 }
--- a/crates/proxy/src/rpc_mapping/http_to_call.rs
+++ b/crates/proxy/src/rpc_mapping/http_to_call.rs
@@ -18,11 +18,9 @@
 /// Converts a request to a call to an endpoint. `id` is JSON; `time_left_ms` is the remaining time of the
 /// client in milliseconds.
 pub fn http_request_to_call(request: &UpstreamRequest, body: &Bytes, id: &str, time_left_ms: u64) -> Vec<u8> {
-    let call = request.extensions().get::<RpcCall>();
-    let method = call.map_or("", |call| &*call.method);
-    let received_over_http = call.is_none_or(|call| call.received_over_http);
-    let sent = if received_over_http { Some(body) } else { call.and_then(|call| call.params.as_ref()) };
-    let params = match sent_params(sent) {
+    let method = rpc_call(request).map_or("", |call| &*call.method);
+    let received_over_http = is_received_over_http(request);
+    let params = match sent_params(sent_bytes(request, body)) {
         SentParams::Positional(array) => array,
         SentParams::ByName(object) => {
             let own_meta = meta_members(request, received_over_http, time_left_ms);
@@ -33,6 +31,29 @@
     jsonrpc::encode_request(Some(id), method, params.as_deref())
 }
 
+/// Whether the call to which a request is converted contains the information from the HTTP head, such as its
+/// idempotency key. Positional `params` have no place for it.
+pub fn carries_meta(request: &UpstreamRequest) -> bool {
+    matches!(sent_params(sent_bytes(request, &buffered_body(request))), SentParams::ByName(_))
+}
+
+fn rpc_call(request: &UpstreamRequest) -> Option<&RpcCall> {
+    request.extensions().get()
+}
+
+fn is_received_over_http(request: &UpstreamRequest) -> bool {
+    rpc_call(request).is_none_or(|call| call.received_over_http)
+}
+
+/// The bytes that are converted to `params`: the body of an HTTP request, or the `params` of a call.
+fn sent_bytes<'a>(request: &'a UpstreamRequest, body: &'a Bytes) -> Option<&'a Bytes> {
+    if is_received_over_http(request) {
+        Some(body)
+    } else {
+        rpc_call(request).and_then(|call| call.params.as_ref())
+    }
+}
+
 /// Converts a result to the headers and body of an HTTP response.
 pub fn result_to_http_response(result: &RawValue) -> (HeaderMap, Bytes) {
     let mut headers = HeaderMap::new();
--- a/crates/proxy/src/rpc_mapping/mod.rs
+++ b/crates/proxy/src/rpc_mapping/mod.rs
@@ -11,7 +11,7 @@
 use serde_json::value::RawValue;
 
 pub use call_to_http::{call_to_http_body, call_to_http_head, http_response_to_result};
-pub use http_to_call::{buffered_body, http_request_to_call, result_to_http_response};
+pub use http_to_call::{buffered_body, carries_meta, http_request_to_call, result_to_http_response};
 
 const JSON_CONTENT_TYPE: HeaderValue = HeaderValue::from_static("application/json");
 
--- a/crates/proxy/src/upstream/mod.rs
+++ b/crates/proxy/src/upstream/mod.rs
@@ -52,8 +52,9 @@
 use self::list_expiry::ListExpiryCheck;
 use self::load_report::LoadReportParser;
 use self::socket_limit::SocketLimit;
-use crate::exchange::{AttemptResult, DisconnectProbe, UpstreamRequest};
+use crate::exchange::{AttemptResult, DisconnectProbe, UpstreamRequest, IDEMPOTENCY_KEY_HEADER};
 use crate::metrics::UnsentCounters;
+use crate::rpc_mapping;
 
 /// The fraction of the endpoints' keep-alive time for which an idle connection is kept. Less than 1, so that
 /// no request is sent while the endpoint closes the connection.
@@ -266,6 +267,12 @@
         }
     }
 
+    /// Whether attempts of this request carry its idempotency key in a form that endpoints can read.
+    pub fn carries_idempotency_key(&self, message: &UpstreamRequest) -> bool {
+        message.headers().contains_key(IDEMPOTENCY_KEY_HEADER)
+            && (self.rpc.is_none() || rpc_mapping::carries_meta(message))
+    }
+
     /// Checks the health of an endpoint and requests its load.
     pub async fn health_check(&self, endpoint: EndpointId) -> AttemptResult {
         health_check::run(self, endpoint).await
--- a/src/bin/amberlever-simulator/event.rs
+++ b/src/bin/amberlever-simulator/event.rs
@@ -115,6 +115,7 @@
         time_left,
         work: work.filter(|work| is_work_known && work.is_finite() && *work > 0.0).map(micros),
         is_retry: marks & MARK_RETRY != 0,
+        lacks_key: false,
         endpoint_filter: None,
         max_attempts: 0,
         downstream_connections: None,
--- a/tests/repeats.rs
+++ b/tests/repeats.rs
@@ -132,3 +132,61 @@
     let proxy = start_standalone(&site.config(), &[]);
     check_not_repeated(&proxy, &endpoints, "/report-result/1");
 }
+
+/// Sends a keyed result with this body to two JSON-RPC nodes, of which the first drops its connection after it
+/// has received the call. Returns the status, the keys of the calls that arrived, and the status of a repeat by
+/// the client, with its cause.
+fn send_over_dropped_connection(body: &str) -> (u16, Vec<Option<String>>, HttpMessage) {
+    let behaviors = [RpcBehavior::Disconnect, RpcBehavior::Result(serde_json::json!("applied"))];
+    let next = Arc::new(Mutex::new(behaviors.into_iter()));
+    let keys = Arc::<Mutex<Vec<Option<String>>>>::default();
+    let nodes = [(); 2].map(|()| {
+        let (next, keys) = (Arc::clone(&next), Arc::clone(&keys));
+        MockRpcEndpoint::of(Framing::Lines, move |call| {
+            let key = call["params"]["_meta"]["key"].as_str().map(str::to_owned);
+            keys.lock().expect("unpoisoned").push(key);
+            next.lock().expect("unpoisoned").next().expect("at most one repeat")
+        })
+    });
+    let proxy = start_standalone(&RpcSite::rpc(&[nodes[0].address, nodes[1].address]).config(), &[]);
+    let length = body.len();
+    let request = format!("POST /report-result/1 HTTP/1.1\r\nHost: a\r\nIdempotency-Key: k\r\nContent-Length: {length}\r\n\r\n{body}");
+    let status = proxy.request(&request).status();
+    let repeated = proxy.request(&request);
+    let keys = keys.lock().expect("unpoisoned").clone();
+    (status, keys, repeated)
+}
+
+/// Guards against a result that is applied twice: positional parameters have no place for the key, so a node
+/// cannot discard their repeat.
+#[test]
+fn positional_params_are_not_repeated_because_they_carry_no_key() {
+    let (status, keys, repeated) = send_over_dropped_connection(r#"[{"table":1}]"#);
+    assert_eq!((status, keys.as_slice()), (502, &[None][..]), "it may have run");
+    let cause = repeated.header("X-Refusal-Cause");
+    assert_eq!((repeated.status(), cause), (409, Some("key-unknown")), "no node knows the key");
+    let key = Some("k".to_owned());
+    let (status, keys, repeated) = send_over_dropped_connection(r#"{"table":1}"#);
+    assert_eq!(
+        (status, keys.as_slice()),
+        (200, &[key.clone(), key][..]),
+        "a node discards the repeat by its key"
+    );
+    assert_eq!(repeated.status(), 200);
+}
+
+/// Guards against a repeat without a key over HTTP: a client can have the key removed as a header of its
+/// connection.
+#[test]
+fn request_whose_key_belongs_to_the_connection_is_not_repeated() {
+    let endpoints = [(); 2].map(|()| MockEndpoint::new([Behavior::Disconnect]));
+    let proxy = Setup::with_endpoints(&[&endpoints[0], &endpoints[1]]).start();
+    let keyed = put("r-1", "k", 4_000, "{}");
+    let received = || endpoints.iter().map(|endpoint| endpoint.requests().len()).sum::<usize>();
+    assert_eq!(proxy.request(&keyed).status(), 503, "a repeat by the client is harmless");
+    assert!(received() > 1, "endpoints discard the repeat by its key");
+    let hop_by_hop = put("r-2", "k2", 4_000, "{}")
+        .replace("\r\nContent-Length", "\r\nConnection: idempotency-key\r\nContent-Length");
+    assert_eq!(proxy.request(&hop_by_hop).status(), 502);
+    assert_eq!(received(), 1, "sent again without its key");
+}
