A move of discovery to a crowded address is not taken for an outage

Cause: the move presumed an outage of discovery for 8 s, which nothing had shown, and the six seconds after which a drain counts as notified ran from its presumed end. Sending was suspended 14.35 s after SIGHUP.

Change: a move presumes nothing, and drops what was presumed of the old address. The bound runs from the move.

Three new tests of `membership` fail before: the announced suspension (15.35 s instead of 7.35), the same after a presumed outage, and fleets of 8 to 350 proxies that move at once (242 of 1,400 proxies of the largest, with a round of all calls in 8 s, sent past the grace; now none, and they are suspended for 0.29 s in the mean and 2.25 s at most).

--- a/crates/membership/src/lease/mod.rs
+++ b/crates/membership/src/lease/mod.rs
@@ -173,13 +173,18 @@
         self.response_missing_from = Some(earliest);
     }
 
-    /// Records that discovery moved to another address. All proxies move at once and may overload the new
-    /// address. An outage is presumed, because the errors that result do not concern changes from before the
-    /// move.
-    pub fn change_address(&mut self, now: Micros) {
-        if self.is_confirmed() && !self.is_outage_presumed() {
-            self.outage = Outage::Presumed { since: now };
+    /// Records that discovery moved to another address. `is_watching` is whether discovery held a call until
+    /// now, in which case it had no change that was not received. What was inferred of the old address says
+    /// nothing about the new one, which other proxies may reach from now on: its changes count as notified
+    /// [`NOTIFIED_AFTER_CALL`] later, even if it is so crowded that it turns away the calls of this proxy.
+    pub fn change_address(&mut self, now: Micros, is_watching: bool) {
+        self.outage = Outage::None;
+        match &mut self.confirmation {
+            ListConfirmation::Confirmed { at } if is_watching => *at = now,
+            _ => {}
         }
+        let notified_from = now + NOTIFIED_AFTER_CALL;
+        self.calls_failed_from = self.calls_failed_from.map(|from| from.min(notified_from));
     }
 
     /// Returns when the silence of an agent that was polled at `polled_at` confirms the list. `None` if
--- a/crates/membership/src/watch/mod.rs
+++ b/crates/membership/src/watch/mod.rs
@@ -143,7 +143,8 @@
     fn on_address_changed(&mut self, now: Micros, actions: &mut Vec<WatchAction>) {
         // Versions may be numbered differently at the new address: only a full list gives a valid version.
         self.has_version = false;
-        self.lease.change_address(now);
+        let is_watching = !self.lease.is_in_doubt() && self.calls.iter().any(|call| call.is_held(now));
+        self.lease.change_address(now, is_watching);
         self.close_all(actions);
         self.poll(now, actions);
     }
--- a/crates/membership/tests/notification_bound_fleet.rs
+++ b/crates/membership/tests/notification_bound_fleet.rs
@@ -41,6 +41,8 @@
     queued_calls: VecDeque<Micros>,
     calls_by_second: BTreeMap<Micros, usize>,
     suspended_time: Vec<Micros>,
+    /// The time from which suspensions are counted.
+    suspensions_count_from: Micros,
 }
 
 impl Fleet {
@@ -74,6 +76,7 @@
             queued_calls: VecDeque::new(),
             calls_by_second: BTreeMap::new(),
             suspended_time: vec![0; proxies],
+            suspensions_count_from: 0,
         }
     }
 
@@ -152,8 +155,9 @@
             let (mut suspended_time, from) = (0, last[proxy]);
             if let Some((begin, until)) = expiry {
                 suspended_time = (now.min(until) - begin.max(from)).max(0);
+                let counted_from = begin.max(from).max(self.suspensions_count_from);
+                self.suspended_time[proxy] += (now.min(until) - counted_from).max(0);
             }
-            self.suspended_time[proxy] += suspended_time;
             let late = (now - from.max(notified_at + DRAIN_GRACE)).max(0);
             late_forwards +=
                 usize::from(self.received_at[proxy].is_none() && late > 0 && suspended_time < late);
@@ -232,6 +236,49 @@
     }
 }
 
+/// Guards against requests to a draining endpoint after a new configuration: all proxies ask the new address at
+/// once, which turns most of them away, and the drain counts as notified six seconds after it nevertheless.
+#[test]
+fn fleet_that_moves_to_another_address_forwards_nothing_after_the_grace() {
+    const MOVED_AT: Micros = 20 * SECOND;
+    for proxies in [8_usize, 30, 350] {
+        for fleet_round in [2 * SECOND, 4 * SECOND, 6 * SECOND, 8 * SECOND] {
+            let (mut suspended_time, mut late_forwards) = (Vec::new(), 0);
+            for seed in 0..4 {
+                let drained_at = MOVED_AT + seed as Micros * 300 * MILLISECOND;
+                let mut fleet = Fleet::new(
+                    proxies,
+                    fleet_round,
+                    4 * SECOND,
+                    (900 * SECOND, 901 * SECOND),
+                    drained_at,
+                    seed,
+                );
+                fleet.suspensions_count_from = MOVED_AT;
+                for proxy in 0..proxies {
+                    fleet.schedule(
+                        MOVED_AT + start_of(proxy, SECOND) / 10,
+                        proxy,
+                        WatchEvent::AddressChanged,
+                    );
+                }
+                late_forwards += fleet.run(60 * SECOND);
+                assert!(fleet.received_at.iter().all(Option::is_some), "all have received the drain");
+                suspended_time.extend(fleet.suspended_time);
+            }
+            suspended_time.sort_unstable();
+            println!(
+                "{proxies} proxies that move to another address, a round in {} s: {late_forwards} of {} times forwarded after the grace; suspended {:.2} s on average, {:.2} s at most",
+                fleet_round / SECOND,
+                suspended_time.len(),
+                suspended_time.iter().sum::<Micros>() as f64 / suspended_time.len() as f64 / SECOND as f64,
+                suspended_time[suspended_time.len() - 1] as f64 / SECOND as f64
+            );
+            assert_eq!(late_forwards, 0, "{proxies} proxies, a round in {} s", fleet_round / SECOND);
+        }
+    }
+}
+
 /// Guards against a fleet that starts within a second and overloads discovery, so that proxies receive a
 /// drain too late.
 #[test]
--- a/crates/membership/tests/watch.rs
+++ b/crates/membership/tests/watch.rs
@@ -3,8 +3,12 @@
 
 mod watch_simulation;
 
+use std::collections::BTreeMap;
+
 use fastrand::Rng;
-use membership::{DiscoveryMode, Expiry, Micros, WatchAction, WatchEvent, WatchPolicy};
+use membership::{
+    CallFailure, DiscoveryMode, DiscoveryWatch, Expiry, Micros, WatchAction, WatchEvent, WatchPolicy,
+};
 use proptest::prelude::*;
 use watch_simulation::{
     polled_policy, running, CallOutcome, World, DRAIN_GRACE, LEASE_TERMS, MILLISECOND, OUTCOMES, SECOND,
@@ -178,6 +182,99 @@
     assert!(max_in_a_second < Some(20), "{max_in_a_second:?} of 40 retry within a second");
 }
 
+/// Plays a move of discovery to an address that turns each call away after two seconds in its queue, and returns
+/// the earliest start of a suspension that was announced. `before` plays what happens before the move.
+fn suspension_after_move(
+    moved_at: Micros,
+    before: impl FnOnce(&mut DiscoveryWatch, &mut Vec<WatchAction>),
+) -> Micros {
+    let mut watch = running(polled_policy(), 1);
+    let mut actions = Vec::new();
+    watch.handle(0, WatchEvent::StartWatch, &mut actions);
+    before(&mut watch, &mut actions);
+    actions.clear();
+    watch.handle(moved_at, WatchEvent::AddressChanged, &mut actions);
+    let mut turned_away_at = BTreeMap::new();
+    let mut suspended_from = Micros::MAX;
+    let mut now = moved_at;
+    while now < moved_at + 12 * SECOND {
+        for action in actions.drain(..) {
+            match action {
+                WatchAction::Poll { call, .. } => drop(turned_away_at.insert(call, now + 2 * SECOND)),
+                WatchAction::CloseCall { call } => drop(turned_away_at.remove(&call)),
+                WatchAction::WatchEnded => panic!("a watch with lease terms does not end"),
+            }
+        }
+        let expiry = watch.expiry().expect("every list with lease terms has a bound");
+        suspended_from = suspended_from.min(expiry.from.max(now));
+        let next_failure = turned_away_at.iter().map(|(call, at)| (*at, *call)).min();
+        let wake = watch.wake_at().unwrap_or(Micros::MAX);
+        let (at, event) = match next_failure {
+            Some((at, call)) if at <= wake => {
+                turned_away_at.remove(&call);
+                (at, WatchEvent::CallFailed { call, failure: CallFailure::ErrorResponse })
+            }
+            _ => (wake, WatchEvent::TimerDue),
+        };
+        now = at.max(now);
+        watch.handle(now, event, &mut actions);
+        let expiry = watch.expiry().expect("every list with lease terms has a bound");
+        assert!(
+            expiry.from <= moved_at + 6 * SECOND + DRAIN_GRACE - LEASE_TERMS.margin,
+            "a call that was turned away at {now} postponed the suspension: {expiry:?}"
+        );
+    }
+    suspended_from
+}
+
+/// Guards against requests to a node whose drain was missed because discovery is crowded at the address of a new
+/// configuration: calls that are turned away prove no outage, so a drain right after the move counts as notified
+/// six seconds later.
+#[test]
+fn crowded_discovery_after_a_move_is_not_taken_for_an_outage() {
+    let suspended_from = suspension_after_move(SECOND, |watch, actions| {
+        let Some(WatchAction::Poll { call, .. }) = actions.first().copied() else { panic!("{actions:?}") };
+        let completed = WatchEvent::ResponseCompleted { call, changed: true };
+        watch.handle(500 * MILLISECOND, completed, actions);
+    });
+    assert_eq!(suspended_from, SECOND + 6 * SECOND + DRAIN_GRACE - LEASE_TERMS.margin);
+}
+
+/// What was presumed of the old address says nothing about the new one.
+#[test]
+fn outage_at_the_old_address_does_not_postpone_the_suspension_after_a_move() {
+    let suspended_from = suspension_after_move(3 * SECOND, |watch, actions| {
+        let Some(WatchAction::Poll { call, .. }) = actions.first().copied() else { panic!("{actions:?}") };
+        let watch_ended = WatchEvent::CallFailed { call, failure: CallFailure::ErrorResponse };
+        watch.handle(1_500 * MILLISECOND, watch_ended, actions);
+        let expiry = watch.expiry().expect("every list with lease terms has a bound");
+        assert!(expiry.from > 14 * SECOND, "an outage is presumed: {expiry:?}");
+    });
+    assert!(suspended_from <= 3 * SECOND + 6 * SECOND + DRAIN_GRACE - LEASE_TERMS.margin, "{suspended_from}");
+}
+
+/// Guards against requests to a node whose drain was missed because discovery was down for two seconds and is
+/// crowded after that: the drain counts as notified six seconds after discovery had it and could be reached.
+#[test]
+fn crowd_after_a_short_outage_does_not_postpone_the_suspension() {
+    let mut watch = running(polled_policy(), 1);
+    let mut actions = Vec::new();
+    watch.handle(0, WatchEvent::StartWatch, &mut actions);
+    let went_down_at = 1_500 * MILLISECOND;
+    let drained_at = went_down_at + 2 * SECOND;
+    let mut turned_away_at = went_down_at;
+    while turned_away_at < 20 * SECOND {
+        let Some(WatchAction::Poll { call, .. }) = actions.pop() else { panic!("polled again") };
+        let turned_away = WatchEvent::CallFailed { call, failure: CallFailure::ErrorResponse };
+        watch.handle(turned_away_at, turned_away, &mut actions);
+        let retried_at = watch.wake_at().expect("a retry is planned");
+        watch.handle(retried_at, WatchEvent::TimerDue, &mut actions);
+        turned_away_at = retried_at + 2 * SECOND;
+    }
+    let expiry = watch.expiry().expect("every list with lease terms has a bound");
+    assert!(expiry.from <= drained_at + 6 * SECOND + DRAIN_GRACE, "suspended from {} on", expiry.from);
+}
+
 /// Guards against a list of the old address that stays in use: the version at the new address is unknown, so
 /// the full list must be requested at once.
 #[test]
