The memory limit of the process is kept under slow clients

Operators saw a process killed for passing its memory limit, 70 ms after its start, with hundreds of clients that wrote slowly, stopped half way, sent heads of many fields or did not read.

Cause: nothing read `limits.memory_mb`. 595 idle connections took 22 MB of 32; a body that grew by doubling took twice its length; what the requests in flight held had no bound together.

Change: the limit is divided once, between a fixed part, the connections (fewer than the descriptors allow where they do not fit) and the requests in flight. A request reserves its memory before its body is read; the reservation is tied to the buffers. Without room the body is read and discarded and the request rejected with 503 and the cause `memory`, which has a metric. Buffered bodies are allocated once, and the future of a request only while there is one.

--- a/crates/proxy/src/body/buffering.rs
+++ b/crates/proxy/src/body/buffering.rs
@@ -1,12 +1,15 @@
 //! Reads a body into memory, up to a maximum size and a deadline.
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use tokio::time::{timeout_at, Instant};
 
 use super::BodyError;
 
+/// The largest chunk that hyper passes on, in bytes. The last chunk may exceed the limit by as much.
+const MAX_CHUNK_BYTES: usize = 16 << 10;
+
 /// The part of a body that was buffered.
 pub enum BufferOutcome {
     /// The body was buffered in full.
@@ -32,7 +35,8 @@
     if body.size_hint().lower() > max_bytes as u64 {
         return Ok(BufferOutcome::Partial { prefix: Bytes::new(), rest: body });
     }
-    let mut buffer = Buffer::default();
+    let expected_len = body.size_hint().upper().map_or(max_bytes + MAX_CHUNK_BYTES, |bytes| bytes as usize);
+    let mut buffer = Buffer::new(expected_len);
     while buffer.len() <= max_bytes {
         let Ok(frame) = timeout_at(deadline, body.frame()).await else { break };
         let Some(frame) = frame else { return Ok(BufferOutcome::Complete(buffer.into_bytes())) };
@@ -45,14 +49,20 @@
 }
 
 /// The chunks of a body. Most bodies are a single chunk, which is not copied.
-#[derive(Default)]
 struct Buffer {
     first: Bytes,
     /// The concatenation of all chunks; empty while there is at most one.
-    joined: BytesMut,
+    joined: Vec<u8>,
+    /// The largest expected length, for which memory is allocated once: a buffer that doubles uses more than
+    /// twice its length while it grows.
+    expected_len: usize,
 }
 
 impl Buffer {
+    fn new(expected_len: usize) -> Buffer {
+        Buffer { first: Bytes::new(), joined: Vec::new(), expected_len }
+    }
+
     fn len(&self) -> usize {
         self.first.len().max(self.joined.len())
     }
@@ -63,7 +73,8 @@
             return;
         }
         if self.joined.is_empty() {
-            self.joined.extend_from_slice(&self.first);
+            self.joined.reserve_exact(self.expected_len.max(self.first.len() + data.len()));
+            self.joined.extend_from_slice(&std::mem::take(&mut self.first));
         }
         self.joined.extend_from_slice(&data);
     }
@@ -72,7 +83,7 @@
         if self.joined.is_empty() {
             self.first
         } else {
-            self.joined.freeze()
+            self.joined.into()
         }
     }
 }
--- a/crates/proxy/src/body/mod.rs
+++ b/crates/proxy/src/body/mod.rs
@@ -17,8 +17,10 @@
 use bytes::Bytes;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 
+use crate::memory::MemoryReservation;
+
 pub use buffering::{buffer, BufferOutcome};
-pub use streaming::{ArrivalProbe, StreamingBody};
+pub use streaming::{discard_rest, ArrivalProbe, StreamingBody};
 
 /// The largest body that is streamed in the platform mode, in bytes.
 pub const MAX_STREAMED_BODY_BYTES: u64 = config::MAX_BODY_BYTES;
@@ -104,6 +106,18 @@
         }
     }
 
+    /// Keeps a reservation for as long as the body is in memory.
+    #[must_use]
+    pub fn with_reservation(self, reservation: MemoryReservation) -> MessageBody {
+        match self {
+            MessageBody::Buffered(body) => MessageBody::Buffered(body.map(|bytes| reservation.tie_to(bytes))),
+            MessageBody::Streaming(stream) => {
+                stream.hold(reservation);
+                MessageBody::Streaming(stream)
+            }
+        }
+    }
+
     /// The stream of a streamed body; `None` if the body is buffered.
     pub fn streaming(&self) -> Option<&Rc<StreamingBody>> {
         match self {
--- a/crates/proxy/src/body/streaming.rs
+++ b/crates/proxy/src/body/streaming.rs
@@ -17,6 +17,8 @@
 use tokio::time::{sleep_until, timeout_at, Instant, Sleep};
 
 use super::client_wait::{ClientWait, TransferState};
+use crate::memory::MemoryReservation;
+
 use super::{
     max_transfer_time, BodyError, MAX_BODY_WITHIN_DEADLINE_BYTES, MIN_BYTES_PER_SECOND, STALL_TIMEOUT,
 };
@@ -62,6 +64,8 @@
     on_complete: RefCell<Vec<CompletionCallback>>,
     /// Whether the body is read to its end even if its reader is dropped.
     is_drained_on_drop: bool,
+    /// The memory that the transfer uses, and that of the request of a response.
+    reservations: RefCell<Vec<MemoryReservation>>,
 }
 
 /// The time spent waiting for the sender of a body.
@@ -147,9 +151,15 @@
             completed_at: Cell::new(None),
             on_complete: RefCell::default(),
             is_drained_on_drop: false,
+            reservations: RefCell::default(),
         }
     }
 
+    /// Keeps a reservation until the body is dropped.
+    pub fn hold(&self, reservation: MemoryReservation) {
+        self.reservations.borrow_mut().push(reservation);
+    }
+
     /// Whether the reader has polled the body.
     pub fn is_read_started(&self) -> bool {
         self.is_read_started.get()
@@ -310,14 +320,14 @@
             callback();
         }
     }
+}
 
-    /// Reads and discards the rest of a body, until `deadline` at most.
-    async fn discard(mut rest: Incoming, deadline: Instant) {
-        let read_all = async {
-            while let Some(Ok(_)) = poll_fn(|context| Pin::new(&mut rest).poll_frame(context)).await {}
-        };
-        let _ = timeout_at(deadline, read_all).await;
-    }
+/// Reads and discards the rest of a body, until `deadline` at most. Closing the connection while bytes still
+/// arrive would reset it, and the client would lose its response.
+pub async fn discard_rest(mut rest: Incoming, deadline: Instant) {
+    let read_all =
+        async { while let Some(Ok(_)) = poll_fn(|context| Pin::new(&mut rest).poll_frame(context)).await {} };
+    let _ = timeout_at(deadline, read_all).await;
 }
 
 impl Drop for StreamingBody {
@@ -325,10 +335,8 @@
         if !self.is_drained_on_drop || self.completed_at.get().is_some() {
             return;
         }
-        // Closing the connection while bytes still arrive resets it, and the client loses its response.
         if let Some(rest) = self.incoming.take() {
-            let deadline = self.transfer_deadline.unwrap_or_else(Instant::now);
-            spawn_local(StreamingBody::discard(rest, deadline));
+            spawn_local(discard_rest(rest, self.transfer_deadline.unwrap_or_else(Instant::now)));
         }
     }
 }
--- a/crates/proxy/src/downstream/error.rs
+++ b/crates/proxy/src/downstream/error.rs
@@ -6,6 +6,7 @@
 
 use super::request::HeadError;
 use crate::exchange::{FinalResponse, UpstreamResponse};
+use crate::memory::MEMORY_CAUSE;
 use crate::metrics::RequestOutcome;
 use crate::router::{Rejection, NO_RETRY_AFTER};
 
@@ -156,6 +157,12 @@
         self.cause() == Some(limit::RejectReason::Connections.name())
     }
 
+    /// Whether the response to the request closes its connection: at the limit on connections, and for lack of
+    /// memory, because the connection uses some and the body may not have been read.
+    pub fn closes_connection(&self) -> bool {
+        self.is_connection_limit() || self.cause() == Some(MEMORY_CAUSE)
+    }
+
     /// The outcome under which the request is counted.
     pub fn outcome(&self) -> RequestOutcome {
         match self {
--- a/crates/proxy/src/downstream/http/mod.rs
+++ b/crates/proxy/src/downstream/http/mod.rs
@@ -18,7 +18,7 @@
 use super::connection::{ClosePhase, DownstreamConnection};
 use super::dispatch::dispatch;
 use super::error::{into_result, RequestError};
-use super::request::{AcceptOutcome, RequestReader};
+use super::request::{AcceptOutcome, ReadRequest, RequestReader};
 use super::ListenerState;
 use crate::exchange::{UpstreamResponse, MAX_BUFFERED_BODY_BYTES, MAX_HEAD_BYTES};
 use crate::metrics::{RequestOutcome, RequestRecorder};
@@ -30,8 +30,9 @@
 
 /// Serves a connection until it ends.
 pub async fn serve(listener: &ListenerState, connection: &Rc<DownstreamConnection>, socket: Socket) {
-    let service = service_fn(|request: Request<Incoming>| async move {
-        Ok::<_, Infallible>(respond(listener, connection, request).await)
+    // Boxed, because hyper reserves the memory of the future for as long as the connection is open.
+    let service = service_fn(|request: Request<Incoming>| {
+        Box::pin(async move { Ok::<_, Infallible>(respond(listener, connection, request).await) })
     });
     let io = TokioIo::new(socket);
     let mut http = pin!(http1::Builder::new().max_buf_size(MAX_HEAD_BYTES).serve_connection(io, service));
@@ -132,14 +133,18 @@
         open_ids: &listener.frontend.ids,
         socket: &connection.socket,
         router_state: &connection.router_state,
+        memory: &listener.frontend.memory,
     };
-    match reader.read(request, recorder).await? {
+    let ReadRequest { outcome, memory } = reader.read(request, recorder).await?;
+    let response = match outcome {
         AcceptOutcome::Accepted(accepted) => {
             // The request's time counts from its last byte; for a streamed request, from now plus the time
             // that the rest of its body may take.
             let received_at = Instant::now();
-            into_result(dispatch(listener, *accepted, &connection.disconnect_probe(), received_at).await)
+            dispatch(listener, *accepted, &connection.disconnect_probe(), received_at).await
         }
-        AcceptOutcome::Replayed(response) => into_result(response),
-    }
+        AcceptOutcome::Replayed(response) => response,
+    };
+    let UpstreamResponse { headers, body } = into_result(response)?;
+    Ok(UpstreamResponse { headers, body: body.with_reservation(memory) })
 }
--- a/crates/proxy/src/downstream/http/response.rs
+++ b/crates/proxy/src/downstream/http/response.rs
@@ -101,7 +101,7 @@
     if let Some(cause) = error.cause() {
         headers.insert(REJECTION_CAUSE_HEADER, HeaderValue::from_static(cause));
     }
-    if error.is_connection_limit() {
+    if error.closes_connection() {
         headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
     if error.retry_after() > NO_RETRY_AFTER {
--- a/crates/proxy/src/downstream/mod.rs
+++ b/crates/proxy/src/downstream/mod.rs
@@ -23,6 +23,7 @@
 use std::future::Future;
 use std::pin::pin;
 use std::rc::Rc;
+use std::sync::Arc;
 
 use config::Protocol;
 use decide::{DownstreamConnections, Micros};
@@ -31,6 +32,7 @@
 use tokio::task::spawn_local;
 
 use crate::clock::Clock;
+use crate::memory::MemoryBudget;
 use crate::request_ids::OpenRequestIds;
 use crate::router::Router;
 use drain::DrainState;
@@ -47,6 +49,8 @@
     /// Whether another process shares the listening socket and continues to accept on it after this process
     /// exits.
     pub is_socket_shared: bool,
+    /// The memory for requests in flight.
+    pub memory: Arc<MemoryBudget>,
 }
 
 /// A listener, its connections and its drain state.
--- a/crates/proxy/src/downstream/request/mod.rs
+++ b/crates/proxy/src/downstream/request/mod.rs
@@ -9,6 +9,7 @@
 mod routed;
 
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use decide::NewRequest;
@@ -24,9 +25,10 @@
 use crate::body::{self, ArrivalProbe, BufferOutcome, MessageBody, StreamingBody};
 use crate::exchange::{FinalResponse, UpstreamRequest, MAX_BUFFERED_BODY_BYTES};
 use crate::idempotency_keys::ReservedKey;
+use crate::memory::{self, MemoryBudget, MemoryReservation};
 use crate::metrics::RequestRecorder;
 use crate::request_ids::{OpenRequestIds, RequestIdClaim};
-use crate::router::{PoolSequence, Router, RouterConnectionState};
+use crate::router::{PoolSequence, Rejection, Router, RouterConnectionState};
 use crate::socket::{Socket, UnreadInput};
 
 /// The maximum time from the first byte of a buffered request to its last. Without it, clients that send
@@ -67,6 +69,16 @@
     pub socket: &'a Socket,
     /// State that the router attaches to the connection.
     pub router_state: &'a RouterConnectionState,
+    /// The memory for requests in flight.
+    pub memory: &'a Arc<MemoryBudget>,
+}
+
+/// A request that was read, and the memory that is reserved for it until its response is written.
+pub struct ReadRequest {
+    /// The result of accepting the request.
+    pub outcome: AcceptOutcome,
+    /// The memory of the request without its body.
+    pub memory: MemoryReservation,
 }
 
 impl RequestReader<'_> {
@@ -78,7 +90,7 @@
         &self,
         request: Request<Incoming>,
         recorder: &Rc<RequestRecorder>,
-    ) -> Result<AcceptOutcome, RequestError> {
+    ) -> Result<ReadRequest, RequestError> {
         let started_at = self.socket.message_started_at().unwrap_or_else(Instant::now);
         let is_chunked = request.headers().contains_key(header::TRANSFER_ENCODING);
         let head_bytes = head::validate_head(&self.socket.take_head())?;
@@ -94,8 +106,10 @@
             return Err(InvalidRequest::UnexpectedBody.into());
         }
         routed.allow_streaming(self.router);
+        let (body, memory, body_memory) = self.reserve_memory(&routed, body, body_bytes).await?;
         let message_bytes = body.size_hint().exact().map(|bytes| head_bytes as u64 + bytes);
         let body = self.read_body(&routed, body, body_bytes, started_at, message_bytes).await?;
+        let body = hold_memory(body, body_memory);
         match &body {
             MessageBody::Streaming(stream) => {
                 let recorder = Rc::clone(recorder);
@@ -107,7 +121,30 @@
                 self.check_message_end(message_bytes as u64, is_chunked)?;
             }
         }
-        routed.accept(head, body, None, self.open_ids)
+        Ok(ReadRequest { outcome: routed.accept(head, body, None, self.open_ids)?, memory })
+    }
+
+    /// Reserves memory for a request and for its body. Returns the body with both reservations.
+    ///
+    /// # Errors
+    /// Returns a rejection if there is not enough memory. The body has then been read and discarded, because a
+    /// client that is still sending would not get the response.
+    async fn reserve_memory(
+        &self,
+        routed: &RoutedRequest,
+        body: Incoming,
+        body_bytes: u64,
+    ) -> Result<(Incoming, MemoryReservation, MemoryReservation), Rejection> {
+        let for_body = body_memory_bytes(&body, routed.may_stream());
+        let reserved = self.memory.reserve(memory::REQUEST_BYTES);
+        let reserved = reserved.and_then(|request| Ok((request, self.memory.reserve(for_body)?)));
+        match reserved {
+            Ok((request_memory, body_memory)) => Ok((body, request_memory, body_memory)),
+            Err(exhausted) => {
+                body::discard_rest(body, Instant::now() + body::max_transfer_time(body_bytes)).await;
+                Err(exhausted.into())
+            }
+        }
     }
 
     /// Reads a body: all of it, or only its start if the body may be streamed and is larger than the buffer
@@ -167,3 +204,26 @@
         Ok(())
     }
 }
+
+/// The memory that reading and forwarding this body may use, in bytes.
+fn body_memory_bytes(body: &Incoming, may_stream: bool) -> usize {
+    match body.size_hint().exact() {
+        Some(0) => 0,
+        Some(bytes) if bytes <= MAX_BUFFERED_BODY_BYTES as u64 => {
+            bytes as usize + memory::BODY_OVERHEAD_BYTES
+        }
+        Some(_) => memory::STREAM_BYTES,
+        // Buffered first, and streamed from there on if it is larger.
+        None if may_stream => MAX_BUFFERED_BODY_BYTES + memory::STREAM_BYTES,
+        None => MAX_BUFFERED_BODY_BYTES + 2 * memory::BODY_OVERHEAD_BYTES,
+    }
+}
+
+/// Keeps a reservation for as long as the body is in memory; for a buffered body, only what it uses.
+fn hold_memory(body: MessageBody, mut reservation: MemoryReservation) -> MessageBody {
+    if let MessageBody::Buffered(bytes) = &body {
+        let used = bytes.as_ref().map_or(0, |bytes| bytes.len() + memory::BODY_OVERHEAD_BYTES);
+        reservation.shrink_to(used);
+    }
+    body.with_reservation(reservation)
+}
--- a/crates/proxy/src/downstream/tests.rs
+++ b/crates/proxy/src/downstream/tests.rs
@@ -35,6 +35,7 @@
             ids: OpenRequestIds::default(),
             protocol: Protocol::Http,
             is_socket_shared: false,
+            memory: MemoryBudget::without_limit(),
         };
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let address = listener.local_addr().expect("bound");
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -16,7 +16,7 @@
 //!   operators.
 //! - Operations: `operators` serves the operators' address, `metrics` counts requests and attempts, [`log`]
 //!   writes lines.
-//! - Foundations: [`clock`], `socket`, `panic_guard`.
+//! - Foundations: [`clock`], `socket`, `memory`, `panic_guard`.
 
 pub mod body;
 pub mod clock;
@@ -33,6 +33,7 @@
 pub mod log;
 mod maintenance;
 pub mod membership;
+mod memory;
 mod metrics;
 mod operators;
 mod panic_guard;
--- a/crates/proxy/src/metrics/mod.rs
+++ b/crates/proxy/src/metrics/mod.rs
@@ -54,6 +54,7 @@
     shed: Family<Labels, Counter>,
     errors: Family<Labels, Counter>,
     active: Gauge,
+    memory_refusals: Counter,
     attempts: PoolMetric<Counter>,
     unsent_attempts: Family<Labels, Counter>,
     pool_size: PoolMetric<Gauge>,
@@ -77,6 +78,9 @@
         let unsent_attempts = register_counter_family(&mut registry, "unsent_tries", unsent_help);
         let active = Gauge::default();
         registry.register("active", "Requests taken and not ended", active.clone());
+        let memory_refusals = Counter::default();
+        let refusals_help = "Requests refused because the memory for requests was used up";
+        registry.register("memory_refusals", refusals_help, memory_refusals.clone());
         let size_help = "Backends in the list";
         let pool_size = PoolMetric::register(&mut registry, labeled_by_pool, "pool_size", size_help);
         let ejected_help = "Listed backends that are avoided, by hand or by choice";
@@ -87,6 +91,7 @@
             shed,
             errors,
             active,
+            memory_refusals,
             attempts,
             unsent_attempts,
             pool_size,
@@ -130,6 +135,11 @@
         self.attempts.with_labels(pool)
     }
 
+    /// The counter of the requests that were rejected for lack of memory.
+    pub fn memory_refusals(&self) -> Counter {
+        self.memory_refusals.clone()
+    }
+
     /// The counters of attempts that were not sent to endpoints of a pool. To be called after
     /// [`Self::attempts`], which bounds the number of pools.
     pub fn unsent_attempts(&self, pool: &Labels) -> UnsentCounters {
--- a/crates/proxy/src/platform/config_file.rs
+++ b/crates/proxy/src/platform/config_file.rs
@@ -10,12 +10,14 @@
 use serde::Deserialize;
 use serde_json::value::RawValue;
 
+use crate::memory::MemoryPlan;
 use crate::operators;
 
 /// The environment variable with the path of the configuration file.
 const PATH_VARIABLE: &str = "LB_CONFIG";
 /// The number of sockets of the process if the configuration does not set it.
 const DEFAULT_SOCKETS: usize = 1024;
+const BYTES_PER_MEBIBYTE: f64 = 1_048_576.0;
 
 /// The configuration of a process in the platform's mode.
 pub struct Config {
@@ -31,6 +33,8 @@
     pub max_downstream_connections: usize,
     /// The maximum number of connections to endpoints.
     pub max_upstream_connections: usize,
+    /// The memory for requests in flight, in bytes.
+    pub request_memory_bytes: usize,
     /// The endpoint list to use before discovery has answered.
     pub initial_list: Option<ParsedEndpointList>,
     /// The gossip settings; `None` if gossip is not configured or not allowed by the platform's settings.
@@ -150,11 +154,20 @@
 #[serde(default)]
 struct Limits {
     sockets: usize,
+    /// The memory limit of the process in MiB; `None` for no limit.
+    memory_mb: Option<f64>,
 }
 
 impl Default for Limits {
     fn default() -> Self {
-        Limits { sockets: DEFAULT_SOCKETS }
+        Limits { sockets: DEFAULT_SOCKETS, memory_mb: None }
+    }
+}
+
+impl Limits {
+    fn memory_plan(&self) -> MemoryPlan {
+        let bytes = self.memory_mb.map(|mebibytes| (mebibytes * BYTES_PER_MEBIBYTE) as usize);
+        bytes.map_or(MemoryPlan::WITHOUT_LIMIT, |bytes| MemoryPlan::new(bytes, self.sockets))
     }
 }
 
@@ -176,8 +189,10 @@
     fn parse(text: &str) -> Result<Config, InvalidConfig> {
         let file: ConfigFile = serde_json::from_str(text).map_err(InvalidConfig::Json)?;
         let operator_sockets = if file.operators.is_some() { operators::server::SOCKETS } else { 0 };
+        let memory = file.limits.memory_plan();
+        let sockets = file.limits.sockets.min(memory.max_sockets);
         let (max_downstream_connections, max_upstream_connections) =
-            split_sockets(file.limits.sockets.saturating_sub(operator_sockets))
+            split_sockets(sockets.saturating_sub(operator_sockets))
                 .ok_or(InvalidConfig::Sockets(file.limits.sockets))?;
         let platform = platform_settings::parse(file.settings.get()).map_err(InvalidConfig::Settings)?;
         let gossip_allowed = platform.settings.gossip_allowed;
@@ -191,6 +206,7 @@
             seed: parse_seed(&file.seed)?,
             max_downstream_connections,
             max_upstream_connections,
+            request_memory_bytes: memory.request_bytes,
             initial_list: file.initial_list.map(parse_initial_list).transpose()?,
             gossip: file
                 .gossip_listen
--- a/crates/proxy/src/platform/mod.rs
+++ b/crates/proxy/src/platform/mod.rs
@@ -25,6 +25,7 @@
 use crate::gossip::GossipSocket;
 use crate::log::log_line;
 use crate::membership::{Discovery, EndpointRegistry};
+use crate::memory::MemoryBudget;
 use crate::metrics::{Labels, Metrics};
 use crate::platform_router::PlatformRouter;
 use crate::process::{self, Signals};
@@ -79,6 +80,7 @@
         ids: OpenRequestIds::default(),
         protocol: Protocol::Http,
         is_socket_shared: is_shared_socket,
+        memory: MemoryBudget::new(config.request_memory_bytes, metrics.memory_refusals()),
     };
 
     if let Some(gossip) = gossip {
--- a/crates/proxy/src/process.rs
+++ b/crates/proxy/src/process.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 
 use config::Listener;
 use tokio::net::TcpListener;
@@ -12,6 +13,7 @@
 use crate::downstream::{self, Frontend};
 use crate::inherited_socket;
 use crate::log::log_line;
+use crate::memory::MemoryBudget;
 use crate::request_ids::OpenRequestIds;
 use crate::router::Router;
 use crate::start_error::StartError;
@@ -117,11 +119,18 @@
         let max_connections = (max_connections / self.listeners.len().max(1)).max(1);
         let (stop, stopped) = watch::channel(());
         let ids = OpenRequestIds::default();
+        let memory = MemoryBudget::without_limit();
         let mut tasks = JoinSet::new();
         for (index, BoundListener { config, socket, address }) in self.listeners.into_iter().enumerate() {
             let protocol = config.protocol;
             let router = router(config, index);
-            let frontend = Frontend { router, ids: ids.clone(), protocol, is_socket_shared: self.shared };
+            let frontend = Frontend {
+                router,
+                ids: ids.clone(),
+                protocol,
+                is_socket_shared: self.shared,
+                memory: Arc::clone(&memory),
+            };
             let mut stopped = stopped.clone();
             tasks.spawn_local(downstream::run(frontend, socket, max_connections, async move {
                 let _ = stopped.changed().await;
--- a/crates/proxy/src/router.rs
+++ b/crates/proxy/src/router.rs
@@ -101,7 +101,7 @@
 impl Rejection {
     /// The outcome under which the request is counted.
     pub fn request_outcome(&self) -> RequestOutcome {
-        if self.status == StatusCode::TOO_MANY_REQUESTS {
+        if matches!(self.status, StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE) {
             RequestOutcome::Rejected
         } else {
             RequestOutcome::Failed
--- a/tests/stubs/process.rs
+++ b/tests/stubs/process.rs
@@ -132,6 +132,13 @@
         (descriptors, memory.trim().trim_end_matches(" kB").parse().expect("a number"))
     }
 
+    /// The anonymous resident memory in kilobytes: without the code of the program.
+    pub fn anonymous_memory_kb(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).expect("runs");
+        let memory = status.lines().find_map(|l| l.strip_prefix("RssAnon:")).expect("has memory");
+        memory.trim().trim_end_matches(" kB").parse().expect("a number")
+    }
+
     /// The CPU time that the process, which has a single thread, has used, in nanoseconds.
     pub fn cpu_time_ns(&self) -> u64 {
         let stat = std::fs::read_to_string(format!("/proc/{}/schedstat", self.child.id())).expect("runs");
