An upload that its endpoint reads slowly is answered in its client's time

Callers had their final answer seconds after its time: an endpoint read a large body slowly and without a stop, and the client had long sent its last byte.

Cause: flow control kept the end of the body in the kernels' buffers, so that the process could not see that the client had finished, and each part that the endpoint took started the client's time anew.

When the last byte is read the client's time runs.

--- a/crates/proxy/src/body/buffering.rs
+++ b/crates/proxy/src/body/buffering.rs
@@ -8,7 +8,7 @@
 use super::BodyError;
 
 /// The largest chunk that hyper passes on, in bytes. The last chunk may exceed the limit by as much.
-const MAX_CHUNK_BYTES: usize = 16 << 10;
+pub(super) const MAX_CHUNK_BYTES: usize = 16 << 10;
 
 /// The part of a body that was buffered.
 pub enum BufferOutcome {
--- a/crates/proxy/src/body/mod.rs
+++ b/crates/proxy/src/body/mod.rs
@@ -1,12 +1,14 @@
 //! Message bodies: buffered and replayable, or streamed from one connection to another.
 //!
 //! A streamed body has a single reader. While it is streamed, it is buffered only as far as hyper reads
-//! ahead; beyond that, the flow control of the two connections stops the sender. Each transfer has a stall
+//! ahead, and a request body as far as `read_ahead` allows while its endpoint is slower than its client; beyond
+//! that, the flow control of the two connections stops the sender. Each transfer has a stall
 //! timeout and a maximum size in bytes. In addition, a request body has a minimum rate, and the wait for a
 //! response body of unknown length is limited once the deadline of its request has passed.
 
 mod buffering;
 mod client_wait;
+mod read_ahead;
 mod streaming;
 
 use std::pin::Pin;
--- a/crates/proxy/src/body/streaming.rs
+++ b/crates/proxy/src/body/streaming.rs
@@ -17,6 +17,7 @@
 use tokio::time::{sleep_until, timeout_at, Instant, Sleep};
 
 use super::client_wait::{ClientWait, TransferState};
+use super::read_ahead::{BodyEnd, ReadAhead};
 use crate::memory::MemoryReservation;
 
 use super::{
@@ -64,10 +65,19 @@
     on_complete: RefCell<Vec<CompletionCallback>>,
     /// Whether the body is read to its end even if its reader is dropped.
     is_drained_on_drop: bool,
+    read_ahead: RefCell<ReadAhead>,
     /// The memory that the transfer uses, and that of the request of a response.
     reservations: RefCell<Vec<MemoryReservation>>,
 }
 
+/// A chunk of a body as it was received.
+struct ReceivedChunk {
+    /// The data; empty if the end of the body came without any.
+    data: Bytes,
+    /// Whether nothing follows.
+    is_last: bool,
+}
+
 /// The time spent waiting for the sender of a body.
 #[derive(Clone, Copy, Default)]
 struct SenderWait {
@@ -151,6 +161,7 @@
             completed_at: Cell::new(None),
             on_complete: RefCell::default(),
             is_drained_on_drop: false,
+            read_ahead: RefCell::default(),
             reservations: RefCell::default(),
         }
     }
@@ -191,8 +202,42 @@
             }
             let next_check = now + ARRIVAL_CHECK_INTERVAL;
             let wake_at = expires_at.map_or(next_check, |expires_at| expires_at.min(next_check));
-            sleep_until(wake_at).await;
+            tokio::select! {
+                () = sleep_until(wake_at) => {}
+                () = poll_fn(|context| self.poll_read_ahead(context)), if expires_at.is_some() => {}
+            }
+        }
+    }
+
+    /// Reads ahead while the reader takes nothing. Becomes ready when the last byte was read.
+    fn poll_read_ahead(&self, context: &mut Context<'_>) -> Poll<()> {
+        // A reader that waits for the sender must stay the one that is woken.
+        while !self.is_awaiting_sender() && self.completed_at.get().is_none() {
+            if !self.may_read_ahead() {
+                break;
+            }
+            let mut incoming = self.incoming.borrow_mut();
+            let Some(incoming) = incoming.as_mut() else { break };
+            let Poll::Ready(frame) = Pin::new(&mut *incoming).poll_frame(context) else { break };
+            let mut read_ahead = self.read_ahead.borrow_mut();
+            match self.received(frame, incoming.is_end_stream()) {
+                Ok(ReceivedChunk { data, is_last }) => {
+                    read_ahead.push(data);
+                    if is_last {
+                        read_ahead.finish(BodyEnd::Complete);
+                        return Poll::Ready(());
+                    }
+                }
+                Err(error) => read_ahead.finish(BodyEnd::Failed(error)),
+            }
         }
+        Poll::Pending
+    }
+
+    /// Whether there is memory to read another chunk ahead.
+    fn may_read_ahead(&self) -> bool {
+        let reservations = self.reservations.borrow();
+        reservations.first().is_some_and(|memory| self.read_ahead.borrow_mut().reserve_chunk(memory))
     }
 
     /// Since when the client that sends this body waits for its response; `None` if it is still sending.
@@ -206,7 +251,7 @@
     fn transfer_state(&self) -> TransferState {
         let has_arrived =
             || self.arrival_probe.as_ref().is_some_and(|ArrivalProbe(has_arrived)| has_arrived());
-        if self.completed_at.get().is_some() || has_arrived() {
+        if self.completed_at.get().is_some() || self.read_ahead.borrow().is_complete() || has_arrived() {
             TransferState::Arrived
         } else if self.is_awaiting_sender() {
             TransferState::AwaitingClient
@@ -230,6 +275,9 @@
         if self.completed_at.get().is_some() {
             return Poll::Ready(None);
         }
+        if !self.read_ahead.borrow().is_empty() {
+            return Poll::Ready(self.take_read_ahead().map(|data| data.map(Frame::data)));
+        }
         let mut incoming = self.incoming.borrow_mut();
         let Some(incoming) = incoming.as_mut() else {
             // Not reached: the rest is discarded only when the body is dropped.
@@ -252,25 +300,55 @@
                 return Poll::Ready(Some(Err(BodyError::TimedOut)));
             };
             self.sender_wait.set(self.sender_wait.get().stopped(Instant::now()));
-            let data = match frame {
-                Some(Err(_)) => return Poll::Ready(Some(Err(BodyError::Interrupted))),
-                Some(Ok(frame)) => frame.into_data().ok(),
-                None => None,
-            };
-            let Some(data) = data else {
-                self.complete();
-                return Poll::Ready(None);
+            let ReceivedChunk { data, is_last } = match self.received(frame, incoming.is_end_stream()) {
+                Ok(chunk) => chunk,
+                Err(error) => return Poll::Ready(Some(Err(error))),
             };
-            if let Err(error) = self.count_read(data.len() as u64) {
-                return Poll::Ready(Some(Err(error)));
-            }
-            if incoming.is_end_stream() {
+            if is_last {
                 self.complete();
             }
             if !data.is_empty() {
                 return Poll::Ready(Some(Ok(data)));
             }
+            if is_last {
+                return Poll::Ready(None);
+            }
+        }
+    }
+
+    /// The next part of what was read ahead. Completes the body with its last chunk.
+    fn take_read_ahead(&self) -> Option<Result<Bytes, BodyError>> {
+        let (taken, is_taken_whole) = {
+            let mut read_ahead = self.read_ahead.borrow_mut();
+            (read_ahead.take(), read_ahead.is_taken_whole())
+        };
+        if is_taken_whole {
+            self.complete();
         }
+        match taken {
+            Ok(chunk) => Some(Ok(chunk)),
+            Err(BodyEnd::Failed(error)) => Some(Err(error)),
+            Err(BodyEnd::Complete) => None,
+        }
+    }
+
+    /// The data of a frame that was received, after counting it.
+    ///
+    /// # Errors
+    /// Returns an error if the body ended early, is too large or too slow.
+    fn received(
+        &self,
+        frame: Option<Result<Frame<Bytes>, hyper::Error>>,
+        is_end_stream: bool,
+    ) -> Result<ReceivedChunk, BodyError> {
+        let data = match frame {
+            Some(Err(_)) => return Err(BodyError::Interrupted),
+            Some(Ok(frame)) => frame.into_data().ok(),
+            None => None,
+        };
+        let Some(data) = data else { return Ok(ReceivedChunk { data: Bytes::new(), is_last: true }) };
+        self.count_read(data.len() as u64)?;
+        Ok(ReceivedChunk { data, is_last: is_end_stream })
     }
 
     /// Becomes ready when the wait for the sender has been too long.
--- a/crates/proxy/src/memory.rs
+++ b/crates/proxy/src/memory.rs
@@ -40,6 +40,10 @@
 /// The memory of a request in flight without its body, in bytes: its head, as read and as sent, the state of
 /// its tasks, and a response.
 pub const REQUEST_BYTES: usize = 32 << 10;
+/// The fraction of the memory for requests that may be used for what can be done without, so that it leaves room
+/// for other requests.
+const OPTIONAL_FRACTION: f64 = 0.5;
+
 /// The memory of a body while it is read, beside its length, in bytes.
 pub const BODY_OVERHEAD_BYTES: usize = 16 << 10;
 /// The memory of a streamed body, in bytes: the buffers of the two connections, and what is on its way between
@@ -105,8 +109,9 @@
         self.used.load(Ordering::Relaxed)
     }
 
-    fn try_use(&self, bytes: usize) -> bool {
-        let add = |used: usize| used.checked_add(bytes).filter(|used| *used <= self.limit);
+    /// Uses memory if the sum then is at most `limit`.
+    fn try_use(&self, bytes: usize, limit: usize) -> bool {
+        let add = |used: usize| used.checked_add(bytes).filter(|used| *used <= limit);
         self.used.fetch_update(Ordering::Relaxed, Ordering::Relaxed, add).is_ok()
     }
 }
@@ -138,7 +143,7 @@
     /// # Errors
     /// Returns [`MemoryExhausted`] and counts a refusal if there is not enough left.
     pub fn grow(&mut self, bytes: usize) -> Result<(), MemoryExhausted> {
-        if !self.budget.try_use(bytes) {
+        if !self.budget.try_use(bytes, self.budget.limit) {
             self.budget.refusals.inc();
             return Err(MemoryExhausted);
         }
@@ -146,6 +151,23 @@
         Ok(())
     }
 
+    /// Makes an empty reservation from the same budget.
+    pub fn another(&self) -> MemoryReservation {
+        MemoryReservation { budget: Arc::clone(&self.budget), bytes: 0 }
+    }
+
+    /// Raises the reservation to `bytes` for something that can be done without, which may use only
+    /// [`OPTIONAL_FRACTION`] of the budget. Returns whether it is that large now.
+    pub fn raise_optionally(&mut self, bytes: usize) -> bool {
+        let missing = bytes.saturating_sub(self.bytes);
+        let limit = (self.budget.limit as f64 * OPTIONAL_FRACTION) as usize;
+        let is_reserved = missing == 0 || self.budget.try_use(missing, limit);
+        if is_reserved {
+            self.bytes += missing;
+        }
+        is_reserved
+    }
+
     /// Releases what exceeds `bytes`.
     pub fn shrink_to(&mut self, bytes: usize) {
         let released = self.bytes.saturating_sub(bytes);
--- a/tests/slow_peers.rs
+++ b/tests/slow_peers.rs
@@ -5,12 +5,13 @@
 mod stubs;
 
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::thread;
 use std::time::{Duration, Instant};
 
 use rpc::*;
 use serde_json::json;
+use socket2::SockRef;
 use stubs::*;
 
 /// The time that the client of an upload waits, counted from its last byte.
@@ -111,6 +112,41 @@
     assert_eq!(late_count, 0, "{results:#?}");
 }
 
+/// The receive buffer of a slow endpoint, in bytes, so that it and not its kernel takes the body.
+const ENDPOINT_BUFFER: usize = 16 << 10;
+/// The rate at which a slow endpoint reads, in bytes per second.
+const ENDPOINT_RATE: usize = 90_000;
+/// A body that such an endpoint reads for several times as long as the client waits.
+const SLOWLY_READ_SIZE: usize = 1_200_000;
+
+/// Guards against answers that come seconds late: while the endpoint took part after part, the time of the client
+/// started anew with each of them, and the end of a chunked body was only seen when it was read.
+#[test]
+fn an_upload_that_its_endpoint_reads_slowly_is_answered_in_time() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    SockRef::from(&listener).set_recv_buffer_size(ENDPOINT_BUFFER).expect("set");
+    let endpoint = listener.local_addr().expect("bound");
+    let read_slowly = |mut stream: TcpStream| {
+        let mut part = vec![0; ENDPOINT_RATE / 20];
+        while stream.read(&mut part).is_ok_and(|bytes| bytes > 0) {
+            thread::sleep(Duration::from_millis(50));
+        }
+    };
+    thread::spawn(move || {
+        for stream in listener.incoming() {
+            let stream = stream.expect("accepts");
+            thread::spawn(move || read_slowly(stream));
+        }
+    });
+    for (mode, proxy, _discovery) in start_in_each_mode(endpoint) {
+        for framing in [BodyFraming::ContentLength, BodyFraming::Chunked] {
+            let (status, took) = upload(proxy.address, SLOWLY_READ_SIZE, framing);
+            let is_in_time = status.is_some() && took < CLIENT_TIMEOUT + MAX_LATENESS;
+            assert!(is_in_time, "{mode}, {framing:?}: {status:?} after {took:?}");
+        }
+    }
+}
+
 /// Guards against taking a pause of the endpoint for its end: while the client is sending, its time starts anew
 /// with each part of the body that the endpoint takes.
 #[test]
