Responses that are stored for repeats hold no more memory than is counted

Memory grew to 593 MB while one client sent calls under ever new idempotency keys for six seconds, though stored responses are bounded to 16 MiB.

Cause: the body and the headers of a stored response shared the buffer into which the response was read, so that two bytes kept up to 16 KiB; the bound counted the two bytes.

Change: stored responses are copies, and their own memory is counted: 128 bytes each and 128 a header.

--- a/crates/proxy/src/idempotency_keys.rs
+++ b/crates/proxy/src/idempotency_keys.rs
@@ -8,6 +8,7 @@
 
 use bytes::Bytes;
 use decide::Micros;
+use hyper::header::{HeaderName, HeaderValue};
 use hyper::{HeaderMap, StatusCode};
 use idempotency::{IdempotencyTable, ReservationId, ReserveOutcome, StoredResponse, TableLimits};
 
@@ -27,20 +28,43 @@
 /// Time to wait before a retry while a request with the same key is in progress, in microseconds.
 const IN_PROGRESS_RETRY_AFTER: Micros = 1_000_000;
 /// The approximate memory use of a stored header in addition to the bytes of its name and value.
-const HEADER_OVERHEAD_BYTES: usize = 64;
+const HEADER_OVERHEAD_BYTES: usize = 128;
+/// The approximate memory use of a stored response in addition to its headers and its body.
+const RESPONSE_OVERHEAD_BYTES: usize = 128;
 
-/// A stored response. Always complete, because streamed responses are never stored.
+/// A stored response. Always complete, because streamed responses are never stored. It holds copies: the parts of
+/// a received response share the buffer into which it was read, which is many times as large as most responses.
 #[derive(Clone)]
 struct BufferedResponse {
-    headers: HeaderMap,
+    headers: Rc<[(HeaderName, HeaderValue)]>,
     body: Bytes,
 }
 
 impl BufferedResponse {
+    fn copy_of(headers: &HeaderMap, body: &[u8]) -> BufferedResponse {
+        let copy = |(name, value): (&HeaderName, &HeaderValue)| {
+            // A valid name and value stay valid.
+            let name = HeaderName::from_bytes(name.as_ref()).ok()?;
+            Some((name, HeaderValue::from_bytes(value.as_bytes()).ok()?))
+        };
+        BufferedResponse {
+            headers: headers.iter().filter_map(copy).collect(),
+            body: Bytes::copy_from_slice(body),
+        }
+    }
+
     fn size_bytes(&self) -> usize {
         let header_bytes = |name: &str, value: &[u8]| HEADER_OVERHEAD_BYTES + name.len() + value.len();
         let headers = self.headers.iter().map(|(name, value)| header_bytes(name.as_str(), value.as_bytes()));
-        headers.sum::<usize>() + self.body.len()
+        RESPONSE_OVERHEAD_BYTES + headers.sum::<usize>() + self.body.len()
+    }
+
+    fn into_response(self) -> UpstreamResponse {
+        let mut headers = HeaderMap::with_capacity(self.headers.len());
+        for (name, value) in &*self.headers {
+            headers.append(name.clone(), value.clone());
+        }
+        UpstreamResponse { headers, body: self.body.into() }
     }
 }
 
@@ -96,9 +120,8 @@
                 let attempts = AttemptCounter::default();
                 Ok(KeyLookup::Reserved(ReservedKey { scope: self, reservation, attempts, is_settled: false }))
             }
-            ReserveOutcome::Completed(BufferedResponse { headers, body }) => {
-                let response = UpstreamResponse { headers, body: body.into() };
-                Ok(KeyLookup::Replayed(FinalResponse::Served(response)))
+            ReserveOutcome::Completed(response) => {
+                Ok(KeyLookup::Replayed(FinalResponse::Served(response.into_response())))
             }
             ReserveOutcome::InProgress => {
                 Err(rejection(StatusCode::CONFLICT, IN_PROGRESS_CAUSE, IN_PROGRESS_RETRY_AFTER))
@@ -156,7 +179,7 @@
         // Responses of classes with keys are never streamed.
         let Some(body) = body.buffered() else { return };
         self.is_settled = true;
-        let response = BufferedResponse { headers: headers.clone(), body };
+        let response = BufferedResponse::copy_of(headers, &body);
         let bytes = response.size_bytes();
         let now = self.scope.table.clock.now();
         let mut table = self.scope.table.table.borrow_mut();
