Empty lines at full speed delay no other JSON-RPC client

Cause: each empty line was taken from the buffer as a message of its own, and as it starts no call, the limit on open calls did not stop the reading; the task went on for some 128 reads before others had their turn.

Change: empty lines are skipped at once, and after eight reads without a message other connections are served first.

--- a/crates/jsonrpc/src/framing.rs
+++ b/crates/jsonrpc/src/framing.rs
@@ -119,6 +119,7 @@
 
     fn next_line(&mut self) -> Result<Option<Bytes>, FramingError> {
         loop {
+            self.skip_empty_lines();
             let unsearched = &self.buffer[self.searched_bytes..];
             let Some(offset) = unsearched.iter().position(|byte| *byte == b'\n') else {
                 self.searched_bytes = self.buffer.len();
@@ -142,6 +143,18 @@
         }
     }
 
+    /// Skips the line ends at the beginning of the buffer at once, because taking each of them as a line costs many
+    /// times as much as sending it.
+    fn skip_empty_lines(&mut self) {
+        if self.searched_bytes == 0 {
+            let is_line_end = |byte: &&u8| matches!(byte, b'\n' | b'\r');
+            let count = self.buffer.iter().take_while(is_line_end).count();
+            // A single CR may belong to the next line.
+            let line_ends = self.buffer[..count].iter().rposition(|byte| *byte == b'\n');
+            self.buffer.advance(line_ends.map_or(0, |last| last + 1));
+        }
+    }
+
     fn next_with_length(&mut self) -> Result<Option<Bytes>, FramingError> {
         if self.content_length.is_none() {
             self.content_length = self.next_header()?;
--- a/crates/proxy/src/downstream/rpc/mod.rs
+++ b/crates/proxy/src/downstream/rpc/mod.rs
@@ -23,7 +23,7 @@
 use serde_json::json;
 use serde_json::value::RawValue;
 use tokio::io::AsyncWrite;
-use tokio::task::JoinSet;
+use tokio::task::{yield_now, JoinSet};
 use tokio::time::{sleep_until, timeout, Instant};
 
 use self::batch::execute_batch;
@@ -40,6 +40,9 @@
 /// The time that a client has to close its side after the last response; closing earlier would lose data in
 /// transit.
 const LINGER_TIMEOUT: Duration = Duration::from_millis(500);
+/// The number of reads without a message after which other connections are served first. More than the largest
+/// message needs; a client that sends only empty lines is not bounded by the limit on open calls.
+const MAX_READS_WITHOUT_MESSAGE: u32 = 8;
 /// The method of the notification that is sent before this proxy closes a connection.
 const CLOSING_METHOD: &str = "$/closing";
 
@@ -65,6 +68,7 @@
         is_framing_broken: false,
         is_over_connection_limit: false,
         closing_input_bytes: None,
+        reads_without_message: 0,
     };
     // Calls that are still open when this returns are cancelled, because their client has disconnected.
     tokio::select! {
@@ -94,6 +98,8 @@
     /// The number of bytes that are still read, once it is decided that this side closes the connection: those
     /// that had arrived by then.
     closing_input_bytes: Option<u64>,
+    /// The number of reads since the last message or yield.
+    reads_without_message: u32,
 }
 
 /// The executed calls of one message.
@@ -147,7 +153,13 @@
                 read = reader.read_some(|bytes| self.decoder.push(bytes)), if can_read => match read {
                     // A client that closes its sending side counts as disconnected, the same as over HTTP.
                     Ok(0) | Err(_) => return,
-                    Ok(bytes) => self.on_input(bytes as u64),
+                    Ok(bytes) => {
+                        self.on_input(bytes as u64);
+                        if self.reads_without_message > MAX_READS_WITHOUT_MESSAGE {
+                            self.reads_without_message = 0;
+                            yield_now().await;
+                        }
+                    }
                 },
             }
         }
@@ -167,6 +179,7 @@
     }
 
     fn on_input(&mut self, bytes: u64) {
+        self.reads_without_message += 1;
         if let Some(left) = &mut self.closing_input_bytes {
             *left = left.saturating_sub(bytes);
         }
@@ -238,6 +251,7 @@
 
     fn on_frame(&mut self, frame: &Bytes) {
         self.messages_read += 1;
+        self.reads_without_message = 0;
         self.connection.on_request_received();
         self.connection.socket.start_next_message(NO_HEAD_CAPTURE);
         let received_at = Instant::now();
