The id of an unsafe request stays taken when its client leaves

A request ran twice: its client had left while an endpoint worked on it, and the same id came again on another connection.

Cause: an id was taken for as long as its request was open in this process, and a client's leaving ends that at once, while the endpoint may still run the request.

A test of proxy.rs asserted that the id is free as soon as the client disconnects and that the request then runs again. That is the fault; it now asserts 409, that the endpoint gets nothing, and that an id is free after a response.

--- a/crates/proxy/src/downstream/dispatch.rs
+++ b/crates/proxy/src/downstream/dispatch.rs
@@ -64,9 +64,13 @@
         mut pools,
         client_timeout,
         mut reserved_key,
-        id_claim,
+        mut id_claim,
+        is_unsafe,
     } = request;
     let attempts = pools.attempt_counter();
+    if is_unsafe {
+        id_claim.observe_unsafe_attempts(attempts.clone());
+    }
     if let Some(key) = &mut reserved_key {
         key.observe_attempts(attempts.clone());
     }
@@ -102,8 +106,10 @@
     if let Some(mut key) = reserved_key {
         key.record_response(&response);
     }
-    // The id is claimed until the final response is known.
-    drop(id_claim);
+    // The id is claimed until the final response is known, and for longer if nobody is there to get it.
+    if !disconnect_probe.is_disconnected() {
+        id_claim.release();
+    }
     response
 }
 
--- a/crates/proxy/src/downstream/request/mod.rs
+++ b/crates/proxy/src/downstream/request/mod.rs
@@ -49,6 +49,8 @@
     pub reserved_key: Option<ReservedKey>,
     /// Prevents other requests from using the same id while the request is open.
     pub id_claim: RequestIdClaim,
+    /// Whether the request must not be executed twice.
+    pub is_unsafe: bool,
 }
 
 /// The result of accepting a valid request.
--- a/crates/proxy/src/downstream/request/routed.rs
+++ b/crates/proxy/src/downstream/request/routed.rs
@@ -37,6 +37,8 @@
     decision_input: NewRequest,
     request_id: String,
     idempotency_key: Option<String>,
+    /// Whether the request must not be executed twice.
+    is_unsafe: bool,
     /// The open ids that the request's id must differ from; `None` for all ids of the listener.
     open_ids: Option<OpenRequestIds>,
     key_scope: Option<KeyScope>,
@@ -88,6 +90,7 @@
         decision_input,
         request_id,
         idempotency_key,
+        is_unsafe: decision.semantics == Semantics::AtMostOnce,
         open_ids: decision.open_request_ids,
         key_scope: decision.key_scope,
         rpc_method: decision.rpc_method,
@@ -145,6 +148,7 @@
             client_timeout: self.client_timeout,
             reserved_key,
             id_claim,
+            is_unsafe: self.is_unsafe,
         })))
     }
 
--- a/crates/proxy/src/driver/open_request.rs
+++ b/crates/proxy/src/driver/open_request.rs
@@ -81,6 +81,7 @@
             write_before: terms.write_before,
             client_timeout: client_timeout.map(|timeout| timeout.0),
             write_started: WriteStarted::default(),
+            attempts: self.attempt_counter.clone(),
         }
     }
 
--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -73,6 +73,7 @@
 #[derive(Debug, Default)]
 struct AttemptCounts {
     started: Cell<usize>,
+    is_write_started: Cell<bool>,
     is_key_missing: Cell<bool>,
 }
 
@@ -87,6 +88,16 @@
         self.0.started.set(self.0.started.get() + 1);
     }
 
+    /// Records that an attempt is being written, so that the request may be executed.
+    pub fn note_write(&self) {
+        self.0.is_write_started.set(true);
+    }
+
+    /// Whether any attempt was written, at least in part.
+    pub fn is_write_started(&self) -> bool {
+        self.0.is_write_started.get()
+    }
+
     /// Records that a pool sends the request without its idempotency key.
     pub fn note_missing_key(&self) {
         self.0.is_key_missing.set(true);
--- a/crates/proxy/src/upstream/http_attempt.rs
+++ b/crates/proxy/src/upstream/http_attempt.rs
@@ -88,7 +88,7 @@
     time_left: Duration,
 ) -> Result<Response<Incoming>, AttemptError> {
     let message = with_timeout_header(&request.message, time_left);
-    request.write_started.set(true);
+    request.start_write();
     if request.message.body().streaming().is_some() {
         connection.socket.limit_unsent_bytes();
     }
--- a/crates/proxy/src/upstream/mod.rs
+++ b/crates/proxy/src/upstream/mod.rs
@@ -52,7 +52,9 @@
 use self::list_expiry::ListExpiryCheck;
 use self::load_report::LoadReportParser;
 use self::socket_limit::SocketLimit;
-use crate::exchange::{AttemptResult, DisconnectProbe, UpstreamRequest, IDEMPOTENCY_KEY_HEADER};
+use crate::exchange::{
+    AttemptCounter, AttemptResult, DisconnectProbe, UpstreamRequest, IDEMPOTENCY_KEY_HEADER,
+};
 use crate::metrics::UnsentCounters;
 use crate::rpc_mapping;
 
@@ -91,9 +93,17 @@
     pub client_timeout: Option<Duration>,
     /// Whether a byte of the request may have been sent.
     pub write_started: WriteStarted,
+    /// The attempts of the request over all pools.
+    pub attempts: AttemptCounter,
 }
 
 impl AttemptRequest {
+    /// Records that the attempt is being written from now on.
+    fn start_write(&self) {
+        self.write_started.set(true);
+        self.attempts.note_write();
+    }
+
     /// When the client stops waiting for the response, as far as that is known. The deadline of an attempt
     /// with a streamed body includes the longest time that the body may take.
     fn response_deadline(&self) -> Instant {
--- a/crates/proxy/src/upstream/rpc_attempt.rs
+++ b/crates/proxy/src/upstream/rpc_attempt.rs
@@ -77,7 +77,7 @@
     let request = Rc::clone(request);
     connection.send(progress.clone(), move |id| {
         let time_left = check_before_write(&pool, &request)?;
-        request.write_started.set(true);
+        request.start_write();
         let milliseconds = time_left.as_millis().max(1) as u64;
         let body = rpc_mapping::buffered_body(&request.message);
         Ok(rpc_mapping::http_request_to_call(&request.message, &body, id, milliseconds))
--- a/crates/proxy/src/upstream/tests.rs
+++ b/crates/proxy/src/upstream/tests.rs
@@ -74,6 +74,7 @@
             write_before: write_before.map(|time| now + time),
             client_timeout: None,
             write_started: WriteStarted::default(),
+            attempts: AttemptCounter::default(),
         };
         send_checks::check_before_write(&pool, &request).map(|_| ())
     };
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -112,10 +112,13 @@
     assert_eq!(proxy.request(&write("id-1", 9000, "x")).status(), 409);
     assert_eq!(proxy.request(&write("id-2", 9000, "x")).status(), 200);
     assert_eq!(endpoint.request().1.header("X-Request-ID"), Some("id-2"));
-    // The first stays open until its client disconnects; then the id is free.
+    // The first stays open until its client disconnects. It may have run, so its id is still not free.
     drop(first);
     endpoint.wait_for_close();
-    assert_eq!(proxy.request(&write("id-1", 9000, "x")).status(), 200);
+    assert_eq!(proxy.request(&write("id-1", 9000, "x")).status(), 409);
+    assert!(endpoint.requests().is_empty(), "run twice");
+    // An id is free once its client has a response.
+    assert_eq!(proxy.request(&write("id-2", 9000, "x")).status(), 200);
 }
 
 #[test]
