Nothing is sent to the successor at the address of a removed endpoint

A new process at the address of one that had gone could get what was meant for the old one: an attempt that was decided before the removal may be written until the drain grace is over, over a connection that is made meanwhile.

Cause: the check before the write looked at the drain grace of the endpoint's name, and not at who has its address now.

Change: a draining or removed endpoint gets nothing more once another one is listed at its address.

Evidence: the new test of `upstream` fails before (the write is allowed) and passes now. Not shown with processes.

--- a/crates/proxy/src/upstream/endpoint_table.rs
+++ b/crates/proxy/src/upstream/endpoint_table.rs
@@ -95,6 +95,15 @@
         self.endpoints.get(&id)
     }
 
+    /// Whether another endpoint that is neither draining nor removed has the address of this one.
+    pub fn is_replaced(&self, endpoint: &TrackedEndpoint) -> bool {
+        self.endpoints.values().any(|other| {
+            other.entry.id != endpoint.entry.id
+                && other.address == endpoint.address
+                && other.draining_since.is_none()
+        })
+    }
+
     /// The connections to the endpoint with this id.
     pub fn connections_mut(&mut self, id: EndpointId) -> Option<&mut EndpointConnections> {
         self.endpoints.get_mut(&id).map(|endpoint| &mut endpoint.connections)
--- a/crates/proxy/src/upstream/send_checks.rs
+++ b/crates/proxy/src/upstream/send_checks.rs
@@ -58,10 +58,12 @@
     request.write_before.is_some_and(|write_before| Instant::now() + MAX_WRITE_DELAY >= write_before)
 }
 
-/// Whether the endpoint has been forgotten, or has less than [`MAX_WRITE_DELAY`] left of its drain grace.
+/// Whether the endpoint has been forgotten, has less than [`MAX_WRITE_DELAY`] left of its drain grace, or is
+/// draining while another endpoint is listed at its address: what is sent there would reach another process.
 fn is_past_send_cutoff(pool: &UpstreamPool, endpoint: EndpointId) -> bool {
     let endpoints = pool.endpoints.borrow();
     let Some(endpoint) = endpoints.get(endpoint) else { return true };
     let grace = pool.drain_grace();
-    endpoint.draining_since.is_some_and(|since| since.elapsed() + MAX_WRITE_DELAY >= grace)
+    let is_grace_over = |since: Instant| since.elapsed() + MAX_WRITE_DELAY >= grace;
+    endpoint.draining_since.is_some_and(|since| is_grace_over(since) || endpoints.is_replaced(endpoint))
 }
--- a/crates/proxy/src/upstream/tests.rs
+++ b/crates/proxy/src/upstream/tests.rs
@@ -56,33 +56,61 @@
     });
 }
 
+const ENTRY: EndpointId = EndpointId(1);
+
+fn attempt_request(write_before: Option<Duration>) -> AttemptRequest {
+    let now = Instant::now();
+    AttemptRequest {
+        endpoint: ENTRY,
+        message: Rc::new(UpstreamRequest::new(crate::body::MessageBody::default())),
+        disconnect_probe: DisconnectProbe::default(),
+        deadline: now + Duration::from_secs(60),
+        write_before: write_before.map(|time| now + time),
+        client_timeout: None,
+        write_started: WriteStarted::default(),
+        attempts: AttemptCounter::default(),
+    }
+}
+
 /// A process that is held up between the check and the write must not write a repeat after the endpoints have
 /// forgotten the first attempt.
 #[test]
 fn repeat_is_not_sent_shortly_before_the_end_of_its_window() {
     let transport = Transport { keepalive: 0, connect_timeout: 0, drain_grace: 0 };
     let pool = UpstreamPool::new(transport, 9);
-    let entry = Endpoint { id: EndpointId(1), ..Endpoint::default() };
+    let entry = Endpoint { id: ENTRY, ..Endpoint::default() };
     pool.update_endpoint(&entry, "127.0.0.1:9".parse().expect("an address"));
     let check = |write_before: Option<Duration>| {
-        let now = Instant::now();
-        let request = AttemptRequest {
-            endpoint: entry.id,
-            message: Rc::new(UpstreamRequest::new(crate::body::MessageBody::default())),
-            disconnect_probe: DisconnectProbe::default(),
-            deadline: now + Duration::from_secs(60),
-            write_before: write_before.map(|time| now + time),
-            client_timeout: None,
-            write_started: WriteStarted::default(),
-            attempts: AttemptCounter::default(),
-        };
-        send_checks::check_before_write(&pool, &request).map(|_| ())
+        send_checks::check_before_write(&pool, &attempt_request(write_before)).map(|_| ())
     };
     assert_eq!(check(None), Ok(()));
     assert_eq!(check(Some(Duration::from_secs(30))), Ok(()));
     assert_eq!(check(Some(MAX_WRITE_DELAY)), Err(NotSentReason::DeduplicationExpired));
 }
 
+/// A new process at the address of a removed one must not get what was meant for the old one, not even within the
+/// drain grace: it may be in another zone, and does not know what the old one has executed.
+#[test]
+fn nothing_is_sent_to_the_successor_at_the_address_of_a_removed_endpoint() {
+    let transport = Transport { keepalive: 0, connect_timeout: 0, drain_grace: 60_000_000 };
+    let pool = UpstreamPool::new(transport, 9);
+    let (address, elsewhere) = ("127.0.0.1:9", "127.0.0.1:10");
+    let update = |id, state, address: &str| {
+        let entry = Endpoint { id, state, ..Endpoint::default() };
+        pool.update_endpoint(&entry, address.parse().expect("an address"));
+    };
+    let check = || send_checks::check_before_write(&pool, &attempt_request(None)).map(|_| ());
+    update(ENTRY, EndpointState::Ready, address);
+    update(EndpointId(2), EndpointState::Ready, elsewhere);
+    assert_eq!(check(), Ok(()));
+    update(ENTRY, EndpointState::Removed, address);
+    assert_eq!(check(), Ok(()), "the drain grace is not over, and nobody else has the address");
+    update(EndpointId(3), EndpointState::Ready, address);
+    assert_eq!(check(), Err(NotSentReason::EndpointDrained));
+    update(ENTRY, EndpointState::Ready, address);
+    assert_eq!(check(), Ok(()), "listed again, by its own name");
+}
+
 /// The outcome decides whether an attempt is retried and whether its endpoint is blamed. An error that leaves
 /// open whether the request was executed must not map to an outcome that rules it out.
 #[test]
