The log and a metric say why a request, response or connection ended early

Cause: five answers that were cut off left no line in the log of the process that ended them, and no metric tells one bound from another: a stalled sender, a deadline and a too slow transfer were one error.

Change: each failed body has a reason of its own. No bound is changed.

--- a/crates/proxy/src/body/mod.rs
+++ b/crates/proxy/src/body/mod.rs
@@ -59,18 +59,41 @@
 pub enum BodyError {
     /// The sender ended the body early.
     Interrupted,
-    /// The transfer was too slow or stalled.
-    TimedOut,
+    /// The sender sent nothing for [`STALL_TIMEOUT`].
+    Stalled,
+    /// The deadline of the request passed before enough of a body of unknown length had arrived.
+    PastDeadline,
+    /// The whole transfer was slower than the minimum rate.
+    TooSlow,
     /// The body is larger than its limit.
     TooLarge,
+    /// The client's time was over before the endpoint had taken the whole body.
+    NotTaken,
+}
+
+impl BodyError {
+    /// The value of the label of metrics.
+    pub fn label(self) -> &'static str {
+        match self {
+            BodyError::Interrupted => "interrupted",
+            BodyError::Stalled => "sender_stalled",
+            BodyError::PastDeadline => "past_deadline",
+            BodyError::TooSlow => "too_slow",
+            BodyError::TooLarge => "too_large",
+            BodyError::NotTaken => "not_taken",
+        }
+    }
 }
 
 impl std::fmt::Display for BodyError {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         f.write_str(match self {
             BodyError::Interrupted => "the body ended early",
-            BodyError::TimedOut => "the transfer of the body was too slow or stalled",
+            BodyError::Stalled => "the sender of the body has sent nothing for too long",
+            BodyError::PastDeadline => "the deadline passed before enough of the body had arrived",
+            BodyError::TooSlow => "the transfer of the body was too slow",
             BodyError::TooLarge => "the body is larger than its limit",
+            BodyError::NotTaken => "the endpoint took the body too slowly for the client's time",
         })
     }
 }
--- a/crates/proxy/src/body/streaming.rs
+++ b/crates/proxy/src/body/streaming.rs
@@ -62,6 +62,7 @@
     stall_timer: RefCell<Pin<Box<Sleep>>>,
     is_read_started: Cell<bool>,
     completed_at: Cell<Option<Instant>>,
+    failure: Cell<Option<BodyError>>,
     on_complete: RefCell<Vec<CompletionCallback>>,
     /// Whether the body is read to its end even if its reader is dropped.
     is_drained_on_drop: bool,
@@ -159,6 +160,7 @@
             stall_timer: RefCell::new(Box::pin(sleep_until(now + STALL_TIMEOUT))),
             is_read_started: Cell::new(false),
             completed_at: Cell::new(None),
+            failure: Cell::new(None),
             on_complete: RefCell::default(),
             is_drained_on_drop: false,
             read_ahead: RefCell::default(),
@@ -181,6 +183,22 @@
         self.completed_at.get()
     }
 
+    /// Records why the body does not reach its end; the first reason counts. Returns `error`.
+    pub fn fail(&self, error: BodyError) -> BodyError {
+        self.failure.set(self.failure.get().or(Some(error)));
+        error
+    }
+
+    /// Why the body does not reach its end; `None` if it may still do.
+    pub fn failure(&self) -> Option<BodyError> {
+        self.failure.get()
+    }
+
+    /// The number of bytes that were read from the sender.
+    pub fn bytes_read(&self) -> u64 {
+        self.bytes_read.get()
+    }
+
     /// The size of the body in bytes, as far as it is known.
     pub fn size_hint(&self) -> SizeHint {
         self.size
@@ -296,13 +314,13 @@
     ) -> Poll<Option<Result<Bytes, BodyError>>> {
         loop {
             let Poll::Ready(frame) = Pin::new(&mut *incoming).poll_frame(context) else {
-                ready!(self.poll_stalled(context));
-                return Poll::Ready(Some(Err(BodyError::TimedOut)));
+                let error = ready!(self.poll_stalled(context));
+                return Poll::Ready(Some(Err(self.fail(error))));
             };
             self.sender_wait.set(self.sender_wait.get().stopped(Instant::now()));
             let ReceivedChunk { data, is_last } = match self.received(frame, incoming.is_end_stream()) {
                 Ok(chunk) => chunk,
-                Err(error) => return Poll::Ready(Some(Err(error))),
+                Err(error) => return Poll::Ready(Some(Err(self.fail(error)))),
             };
             if is_last {
                 self.complete();
@@ -327,7 +345,7 @@
         }
         match taken {
             Ok(chunk) => Some(Ok(chunk)),
-            Err(BodyEnd::Failed(error)) => Some(Err(error)),
+            Err(BodyEnd::Failed(error)) => Some(Err(self.fail(error))),
             Err(BodyEnd::Complete) => None,
         }
     }
@@ -352,13 +370,15 @@
     }
 
     /// Becomes ready when the wait for the sender has been too long.
-    fn poll_stalled(&self, context: &mut Context<'_>) -> Poll<()> {
+    fn poll_stalled(&self, context: &mut Context<'_>) -> Poll<BodyError> {
         let mut timer = self.stall_timer.borrow_mut();
         let limit = self.sender_wait_limit(Instant::now());
-        if let Some(limit) = limit.filter(|limit| *limit < timer.deadline()) {
+        let limit = limit.filter(|limit| *limit <= timer.deadline());
+        if let Some(limit) = limit {
             timer.as_mut().reset(limit);
         }
-        timer.as_mut().poll(context)
+        ready!(timer.as_mut().poll(context));
+        Poll::Ready(if limit.is_some() { BodyError::PastDeadline } else { BodyError::Stalled })
     }
 
     /// Starts or continues a wait for the sender. Returns the time at which the wait must end, or `None` if
@@ -374,7 +394,7 @@
     /// Counts bytes that were read, and restarts the stall timeout.
     ///
     /// # Errors
-    /// [`BodyError::TooLarge`] if the body exceeds its limit, [`BodyError::TimedOut`] if the transfer
+    /// [`BodyError::TooLarge`] if the body exceeds its limit, [`BodyError::TooSlow`] if the transfer
     /// deadline has passed.
     fn count_read(&self, bytes: u64) -> Result<(), BodyError> {
         self.bytes_read.set(self.bytes_read.get() + bytes);
@@ -383,7 +403,7 @@
         }
         let now = Instant::now();
         if self.transfer_deadline.is_some_and(|deadline| deadline < now) {
-            return Err(BodyError::TimedOut);
+            return Err(BodyError::TooSlow);
         }
         self.stall_timer.borrow_mut().as_mut().reset(now + STALL_TIMEOUT);
         Ok(())
--- a/crates/proxy/src/downstream/connection.rs
+++ b/crates/proxy/src/downstream/connection.rs
@@ -5,6 +5,7 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
+use super::cut_off::CutOffReason;
 use crate::body::STALL_TIMEOUT;
 use crate::clock::Clock;
 use crate::exchange::{DisconnectProbe, MAX_HEAD_BYTES};
@@ -25,6 +26,7 @@
     response_progress: Cell<Option<ResponseWriteProgress>>,
     idle_abort_request: Notify,
     abort_request: Notify,
+    abort_reason: Cell<Option<CutOffReason>>,
 }
 
 /// Whether a connection is to be closed by this side, in the order of urgency.
@@ -60,6 +62,7 @@
             response_progress: Cell::new(None),
             idle_abort_request: Notify::new(),
             abort_request: Notify::new(),
+            abort_reason: Cell::new(None),
         }
     }
 
@@ -178,10 +181,16 @@
     }
 
     /// Closes the connection immediately.
-    pub fn abort(&self) {
+    pub fn abort(&self, reason: CutOffReason) {
+        self.abort_reason.set(Some(reason));
         self.abort_request.notify_one();
     }
 
+    /// Why this side closes the connection although a request is open; `None` if it does not.
+    pub fn abort_reason(&self) -> Option<CutOffReason> {
+        self.abort_reason.get()
+    }
+
     /// Closes the connection immediately if no request is open and no unread bytes of one have arrived.
     pub fn abort_if_idle(&self) {
         self.idle_abort_request.notify_one();
--- a/crates/proxy/src/downstream/dispatch.rs
+++ b/crates/proxy/src/downstream/dispatch.rs
@@ -8,9 +8,10 @@
 use tokio::sync::oneshot;
 use tokio::time::{sleep_until, Instant};
 
+use super::cut_off::{CutOffReason, CutOffStream, RequestId as LoggedId};
 use super::request::AcceptedRequest;
 use super::ListenerState;
-use crate::exchange::{DisconnectProbe, Execution, FinalResponse};
+use crate::exchange::{DisconnectProbe, Execution, FinalResponse, UpstreamRequest};
 use crate::inbox::DriverHandle;
 use crate::router::{RejectionOutcome, NO_RETRY_AFTER};
 
@@ -89,7 +90,8 @@
             disconnect_probe.clone(),
             attempts.clone(),
         );
-        let response = wait_for_response(listener, CancelOnDrop { driver, id }, response, &budget).await;
+        let cancellation = CancelOnDrop { driver, id };
+        let response = wait_for_response(listener, cancellation, response, &budget, &message).await;
         let FinalResponse::Rejected { execution, .. } = response else { break response };
         match pools.on_rejected(execution) {
             RejectionOutcome::Final => break response,
@@ -103,6 +105,9 @@
             }
         }
     };
+    if let Some(error) = message.body().streaming().and_then(|body| body.failure()) {
+        record_cut_off(listener, CutOffReason::Body(error), &message);
+    }
     if let Some(mut key) = reserved_key {
         key.record_response(&response);
     }
@@ -119,13 +124,23 @@
     _cancellation: CancelOnDrop<'_>,
     response: oneshot::Receiver<FinalResponse>,
     budget: &TimeBudget,
+    message: &UpstreamRequest,
 ) -> FinalResponse {
-    tokio::select! {
+    let reason = tokio::select! {
         biased;
-        response = response => response.unwrap_or(FinalResponse::Failed),
-        () = sleep_until(budget.backstop) => FinalResponse::TimedOut,
-        () = listener.drain.deadline_passed() => FinalResponse::TimedOut,
-    }
+        response = response => return response.unwrap_or(FinalResponse::Failed),
+        () = sleep_until(budget.backstop) => CutOffReason::Undecided,
+        () = listener.drain.deadline_passed() => CutOffReason::Shutdown,
+    };
+    record_cut_off(listener, reason, message);
+    FinalResponse::TimedOut
+}
+
+/// Records why a request ends without the response of an endpoint.
+fn record_cut_off(listener: &ListenerState, reason: CutOffReason, message: &UpstreamRequest) {
+    let id = LoggedId::of(message.headers());
+    let bytes = message.body().streaming().map_or(0, |body| body.bytes_read());
+    listener.frontend.cut_offs.record(CutOffStream::Request, reason, &id, bytes);
 }
 
 /// Cancels a request and its attempts when dropped; has no effect after the response.
--- a/crates/proxy/src/downstream/http/mod.rs
+++ b/crates/proxy/src/downstream/http/mod.rs
@@ -16,6 +16,7 @@
 
 use self::response::{empty_response, error_response, served_response, ClientResponse};
 use super::connection::{ClosePhase, DownstreamConnection};
+use super::cut_off::RequestId;
 use super::dispatch::dispatch;
 use super::error::{into_result, RequestError};
 use super::request::{AcceptOutcome, ReadRequest, RequestReader};
@@ -106,13 +107,14 @@
         return Ok(empty_response(if is_ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }));
     }
     let recorder = Rc::<RequestRecorder>::default();
+    let request_id = RequestId::of(request.headers());
     match proxy_request(listener, connection, request, &recorder).await {
         Ok(response) => {
             // The outcome of a streamed response is recorded when the response ends.
             if response.body.streaming().is_none() {
                 recorder.record(RequestOutcome::Served);
             }
-            Ok(served_response(connection, &recorder, response))
+            Ok(served_response(connection, &recorder, &listener.frontend.cut_offs, request_id, response))
         }
         Err(error) => {
             recorder.record(error.outcome());
--- a/crates/proxy/src/downstream/http/response.rs
+++ b/crates/proxy/src/downstream/http/response.rs
@@ -10,8 +10,9 @@
 use hyper::header::{self, HeaderValue};
 use hyper::{Response, StatusCode};
 
-use crate::body::{BodyError, MessageBody};
+use crate::body::{BodyError, MessageBody, StreamingBody};
 use crate::downstream::connection::DownstreamConnection;
+use crate::downstream::cut_off::{CutOffLog, CutOffReason, CutOffStream, RequestId};
 use crate::downstream::error::RequestError;
 use crate::exchange::UpstreamResponse;
 use crate::metrics::{RequestOutcome, RequestRecorder};
@@ -43,11 +44,26 @@
     connection: Rc<DownstreamConnection>,
     recorder: Rc<RequestRecorder>,
     content: MessageBody,
+    cut_offs: Rc<CutOffLog>,
+    request_id: RequestId,
+}
+
+impl StreamGuard {
+    /// Why a response ends before its last byte.
+    fn cut_off_reason(&self, stream: &StreamingBody) -> CutOffReason {
+        let reason = stream.failure().map(CutOffReason::Body);
+        reason.or(self.connection.abort_reason()).unwrap_or(CutOffReason::ClientDisconnected)
+    }
 }
 
 impl Drop for StreamGuard {
     fn drop(&mut self) {
-        let is_complete = self.content.streaming().is_some_and(|stream| stream.completed_at().is_some());
+        let incomplete = self.content.streaming().filter(|stream| stream.completed_at().is_none());
+        if let Some(stream) = incomplete {
+            let reason = self.cut_off_reason(stream);
+            self.cut_offs.record(CutOffStream::Response, reason, &self.request_id, stream.bytes_read());
+        }
+        let is_complete = incomplete.is_none();
         self.recorder.record(if is_complete { RequestOutcome::Served } else { RequestOutcome::Failed });
         self.connection.finish_request();
     }
@@ -73,10 +89,12 @@
     }
 }
 
-/// Builds the response to a client from an endpoint's response.
+/// Builds the response to a client from an endpoint's response. `request_id` is for the log.
 pub fn served_response(
     connection: &Rc<DownstreamConnection>,
     recorder: &Rc<RequestRecorder>,
+    cut_offs: &Rc<CutOffLog>,
+    request_id: RequestId,
     upstream: UpstreamResponse,
 ) -> ClientResponse {
     let UpstreamResponse { headers, body } = upstream;
@@ -84,6 +102,8 @@
         connection: Rc::clone(connection),
         recorder: Rc::clone(recorder),
         content: body.clone(),
+        cut_offs: Rc::clone(cut_offs),
+        request_id,
     });
     if stream_guard.is_some() {
         connection.on_response_start();
--- a/crates/proxy/src/downstream/mod.rs
+++ b/crates/proxy/src/downstream/mod.rs
@@ -11,6 +11,7 @@
 
 mod accept;
 mod connection;
+mod cut_off;
 mod dispatch;
 mod drain;
 mod error;
@@ -35,6 +36,7 @@
 use crate::memory::MemoryBudget;
 use crate::request_ids::OpenRequestIds;
 use crate::router::Router;
+pub use cut_off::CutOffLog;
 use drain::DrainState;
 use registry::ConnectionRegistry;
 
@@ -51,6 +53,8 @@
     pub is_socket_shared: bool,
     /// The memory for requests in flight.
     pub memory: Arc<MemoryBudget>,
+    /// Records what is ended early.
+    pub cut_offs: Rc<CutOffLog>,
 }
 
 /// A listener, its connections and its drain state.
--- a/crates/proxy/src/downstream/rpc/mod.rs
+++ b/crates/proxy/src/downstream/rpc/mod.rs
@@ -31,6 +31,7 @@
 use self::output::OutputQueue;
 use self::response::{encode_duplicate_id, encode_invalid_message};
 use super::connection::{ClosePhase, DownstreamConnection};
+use super::cut_off::{CutOffReason, CutOffStream, RequestId};
 use super::ListenerState;
 use crate::socket::{Socket, NO_HEAD_CAPTURE};
 
@@ -149,7 +150,12 @@
                     }
                     Err(_) => return,
                 },
-                () = sleep_until(last_progress_at + WRITE_STALL_TIMEOUT), if !self.output.is_empty() => return,
+                () = sleep_until(last_progress_at + WRITE_STALL_TIMEOUT), if !self.output.is_empty() => {
+                    let (id, bytes) = (RequestId::default(), socket.bytes_written());
+                    let reason = CutOffReason::ClientStalled;
+                    self.listener.frontend.cut_offs.record(CutOffStream::Connection, reason, &id, bytes);
+                    return;
+                }
                 read = reader.read_some(|bytes| self.decoder.push(bytes)), if can_read => match read {
                     // A client that closes its sending side counts as disconnected, the same as over HTTP.
                     Ok(0) | Err(_) => return,
--- a/crates/proxy/src/downstream/tests.rs
+++ b/crates/proxy/src/downstream/tests.rs
@@ -36,6 +36,7 @@
             protocol: Protocol::Http,
             is_socket_shared: false,
             memory: MemoryBudget::without_limit(),
+            cut_offs: Rc::default(),
         };
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let address = listener.local_addr().expect("bound");
--- a/crates/proxy/src/downstream/timeouts.rs
+++ b/crates/proxy/src/downstream/timeouts.rs
@@ -8,6 +8,7 @@
 use tokio::time::{sleep_until, Instant};
 
 use super::connection::DownstreamConnection;
+use super::cut_off::{CutOffReason, CutOffStream, RequestId};
 use super::ListenerState;
 use crate::body::STALL_TIMEOUT;
 use crate::log::log_line;
@@ -39,8 +40,10 @@
             STALL_TIMEOUT.as_secs()
         ));
     }
-    if is_stalled || is_client_gone() {
-        connection.abort();
+    if is_stalled {
+        connection.abort(CutOffReason::ClientStalled);
+    } else if is_client_gone() {
+        connection.abort(CutOffReason::ClientDisconnected);
     }
     if connection.is_busy() {
         return;
@@ -48,6 +51,13 @@
     let is_making_room = connection.is_closing() && !listener.drain.is_started();
     let timeout = if is_making_room { HEAD_TIMEOUT_AT_LIMIT } else { HEAD_TIMEOUT };
     if head_awaited_since(listener, connection).is_some_and(|since| since.elapsed() > timeout) {
+        let bytes = connection.socket.message_bytes();
+        listener.frontend.cut_offs.record(
+            CutOffStream::Connection,
+            CutOffReason::HeadTimeout,
+            &RequestId::default(),
+            bytes,
+        );
         connection.abort_if_idle();
     }
 }
--- a/crates/proxy/src/hosting/mod.rs
+++ b/crates/proxy/src/hosting/mod.rs
@@ -87,13 +87,14 @@
     let (max_downstream, _) = config::split_sockets(setup.shared.sockets).unwrap_or((1, 1));
     let operator_endpoint = OperatorEndpoint::open(setup.operators.as_ref()).await?;
     let (operator_listener, operators) = operator_endpoint.map(OperatorEndpoint::into_parts).unzip();
+    let cut_offs = operators.as_ref().map(|context| context.metrics.cut_offs()).unwrap_or_default();
     let hosted = Rc::new(HostedTenants::new(setup.shared.clone(), seed, operators));
     hosted.apply(version, &tenants);
     if let Some(listener) = operator_listener {
         let actions = Rc::clone(&hosted) as Rc<dyn OperatorActions>;
         spawn_local(operators::server::serve(listener, actions));
     }
-    let serving = listeners.serve(max_downstream, |listener, index| {
+    let serving = listeners.serve(max_downstream, cut_offs, |listener, index| {
         let id_generator = RequestIdGenerator::new(seed, index);
         Rc::new(TenantRouter { hosted: Rc::clone(&hosted), listener, id_generator })
     });
--- a/crates/proxy/src/metrics/mod.rs
+++ b/crates/proxy/src/metrics/mod.rs
@@ -4,6 +4,7 @@
 //! sets is bounded by [`MAX_LABEL_SETS`]; further ones are counted under the label value [`OVERFLOW_LABEL`].
 
 mod attempt_write;
+mod cut_off;
 mod pool_metric;
 mod request;
 #[cfg(test)]
@@ -21,6 +22,7 @@
 use prometheus_client::registry::Registry;
 
 pub use attempt_write::NextWriteCounter;
+pub use cut_off::CutOffCounters;
 use pool_metric::PoolMetric;
 pub use request::{RequestCounters, RequestOutcome, RequestRecorder};
 pub use unsent::UnsentCounters;
@@ -55,6 +57,7 @@
     errors: Family<Labels, Counter>,
     active: Gauge,
     memory_refusals: Counter,
+    cut_off: Family<Labels, Counter>,
     attempts: PoolMetric<Counter>,
     unsent_attempts: Family<Labels, Counter>,
     pool_size: PoolMetric<Gauge>,
@@ -81,6 +84,8 @@
         let memory_refusals = Counter::default();
         let refusals_help = "Requests refused because the memory for requests was used up";
         registry.register("memory_refusals", refusals_help, memory_refusals.clone());
+        let cut_off_help = "Requests, responses and connections that were ended early, by reason";
+        let cut_off = register_counter_family(&mut registry, "cut_off", cut_off_help);
         let size_help = "Backends in the list";
         let pool_size = PoolMetric::register(&mut registry, labeled_by_pool, "pool_size", size_help);
         let ejected_help = "Listed backends that are avoided, by hand or by choice";
@@ -92,6 +97,7 @@
             errors,
             active,
             memory_refusals,
+            cut_off,
             attempts,
             unsent_attempts,
             pool_size,
@@ -140,6 +146,11 @@
         self.memory_refusals.clone()
     }
 
+    /// The counters of streams and connections that were ended early.
+    pub fn cut_offs(&self) -> CutOffCounters {
+        CutOffCounters::new(&self.cut_off)
+    }
+
     /// The counters of attempts that were not sent to endpoints of a pool. To be called after
     /// [`Self::attempts`], which bounds the number of pools.
     pub fn unsent_attempts(&self, pool: &Labels) -> UnsentCounters {
--- a/crates/proxy/src/platform/mod.rs
+++ b/crates/proxy/src/platform/mod.rs
@@ -20,7 +20,7 @@
 use tokio::task::spawn_local;
 
 use crate::clock::Clock;
-use crate::downstream::{self, Frontend};
+use crate::downstream::{self, CutOffLog, Frontend};
 use crate::driver::Driver;
 use crate::gossip::GossipSocket;
 use crate::log::log_line;
@@ -81,6 +81,7 @@
         protocol: Protocol::Http,
         is_socket_shared: is_shared_socket,
         memory: MemoryBudget::new(config.request_memory_bytes, metrics.memory_refusals()),
+        cut_offs: Rc::new(CutOffLog::new(metrics.cut_offs())),
     };
 
     if let Some(gossip) = gossip {
--- a/crates/proxy/src/process.rs
+++ b/crates/proxy/src/process.rs
@@ -10,10 +10,11 @@
 use tokio::sync::watch;
 use tokio::task::{JoinSet, LocalSet};
 
-use crate::downstream::{self, Frontend};
+use crate::downstream::{self, CutOffLog, Frontend};
 use crate::inherited_socket;
 use crate::log::log_line;
 use crate::memory::MemoryBudget;
+use crate::metrics::CutOffCounters;
 use crate::request_ids::OpenRequestIds;
 use crate::router::Router;
 use crate::start_error::StartError;
@@ -110,16 +111,18 @@
     }
 
     /// Serves each listener with the router that `router` creates for the listener and its index.
-    /// `max_connections` is divided evenly between the listeners.
+    /// `max_connections` is divided evenly between the listeners. What they end early is counted by `cut_offs`.
     pub fn serve(
         self,
         max_connections: usize,
+        cut_offs: CutOffCounters,
         router: impl Fn(Listener, usize) -> Rc<dyn Router>,
     ) -> ServingListeners {
         let max_connections = (max_connections / self.listeners.len().max(1)).max(1);
         let (stop, stopped) = watch::channel(());
         let ids = OpenRequestIds::default();
         let memory = MemoryBudget::without_limit();
+        let cut_offs = Rc::new(CutOffLog::new(cut_offs));
         let mut tasks = JoinSet::new();
         for (index, BoundListener { config, socket, address }) in self.listeners.into_iter().enumerate() {
             let protocol = config.protocol;
@@ -130,6 +133,7 @@
                 protocol,
                 is_socket_shared: self.shared,
                 memory: Arc::clone(&memory),
+                cut_offs: Rc::clone(&cut_offs),
             };
             let mut stopped = stopped.clone();
             tasks.spawn_local(downstream::run(frontend, socket, max_connections, async move {
--- a/crates/proxy/src/standalone/mod.rs
+++ b/crates/proxy/src/standalone/mod.rs
@@ -77,7 +77,8 @@
         spawn_local(operators::server::serve(listener, Rc::new(operations)));
     }
     let state_saver = StateSaver::start(&current);
-    let serving = listeners.serve(max_downstream, |listener, index| {
+    let cut_offs = operators.as_ref().map(|context| context.metrics.cut_offs()).unwrap_or_default();
+    let serving = listeners.serve(max_downstream, cut_offs, |listener, index| {
         let id_generator = RequestIdGenerator::new(seed, index);
         Rc::new(ListenerRouter { current: Rc::clone(&current), listener, id_generator, keys: keys.clone() })
     });
--- a/crates/proxy/src/upstream/http_attempt.rs
+++ b/crates/proxy/src/upstream/http_attempt.rs
@@ -14,6 +14,7 @@
 use super::http_connection::HttpConnection;
 use super::send_checks::{check_before_connect, check_before_write};
 use super::{http_response, AttemptEnd, AttemptRequest, UpstreamPool};
+use crate::body::BodyError;
 use crate::exchange::{UpstreamRequest, TIMEOUT_HEADER};
 
 /// Runs an attempt within its deadline and the timeout of its client.
@@ -42,7 +43,10 @@
     }
     match request.message.body().streaming() {
         Some(body) if body.is_awaiting_sender() => AttemptError::IncompleteRequest,
-        Some(body) if body.completed_at().is_none() => AttemptError::RequestNotTaken,
+        Some(body) if body.completed_at().is_none() => {
+            body.fail(BodyError::NotTaken);
+            AttemptError::RequestNotTaken
+        }
         _ => AttemptError::Timeout,
     }
 }
