A response of unknown length is not cut off while its endpoint writes it

Callers saw answers of 70 to 300 kB, close-delimited or chunked, end without their last bytes at the deadline of the class, also if they waited for longer.

Cause: past the deadline a response of unknown length went on only if 64 KiB had arrived or it came at 32 KiB a second. The bound was meant for responses that never end, and cut off what an endpoint still wrote with pauses.

Change: `body::sender_pause` bounds each pause, not the rate: 2.5 s past the deadline, 10 s as before once 64 KiB have arrived. A pause counts from when the reader began to wait for the sender, no longer from the last byte, so the time of a slow reader is not the sender's.

A response that stops for good ends, its endpoint's connection is closed and the log says why.

--- a/crates/proxy/src/body/mod.rs
+++ b/crates/proxy/src/body/mod.rs
@@ -3,12 +3,13 @@
 //! A streamed body has a single reader. While it is streamed, it is buffered only as far as hyper reads
 //! ahead, and a request body as far as `read_ahead` allows while its endpoint is slower than its client; beyond
 //! that, the flow control of the two connections stops the sender. Each transfer has a stall
-//! timeout and a maximum size in bytes. In addition, a request body has a minimum rate, and the wait for a
-//! response body of unknown length is limited once the deadline of its request has passed.
+//! timeout and a maximum size in bytes. In addition, a request body has a minimum rate, and the pauses in a
+//! response body of unknown length are shorter once the deadline of its request has passed.
 
 mod buffering;
 mod client_wait;
 mod read_ahead;
+mod sender_pause;
 mod streaming;
 
 use std::pin::Pin;
@@ -61,8 +62,8 @@
     Interrupted,
     /// The sender sent nothing for [`STALL_TIMEOUT`].
     Stalled,
-    /// The deadline of the request passed before enough of a body of unknown length had arrived.
-    PastDeadline,
+    /// The sender of a response of unknown length paused for too long after the deadline of the request.
+    PausedPastDeadline,
     /// The whole transfer was slower than the minimum rate.
     TooSlow,
     /// The body is larger than its limit.
@@ -77,7 +78,7 @@
         match self {
             BodyError::Interrupted => "interrupted",
             BodyError::Stalled => "sender_stalled",
-            BodyError::PastDeadline => "past_deadline",
+            BodyError::PausedPastDeadline => "paused_past_deadline",
             BodyError::TooSlow => "too_slow",
             BodyError::TooLarge => "too_large",
             BodyError::NotTaken => "not_taken",
@@ -90,7 +91,7 @@
         f.write_str(match self {
             BodyError::Interrupted => "the body ended early",
             BodyError::Stalled => "the sender of the body has sent nothing for too long",
-            BodyError::PastDeadline => "the deadline passed before enough of the body had arrived",
+            BodyError::PausedPastDeadline => "the sender of the body paused for too long after the deadline",
             BodyError::TooSlow => "the transfer of the body was too slow",
             BodyError::TooLarge => "the body is larger than its limit",
             BodyError::NotTaken => "the endpoint took the body too slowly for the client's time",
--- a/crates/proxy/src/body/streaming.rs
+++ b/crates/proxy/src/body/streaming.rs
@@ -1,9 +1,7 @@
 //! A body that is forwarded while it arrives.
 //!
 //! A request body is read to its end whatever the result of the request, because some clients read no
-//! response before they have sent the whole body. A response body of unknown length is bounded by the
-//! deadline of its request: past the deadline, only a body that arrives at `MIN_BYTES_PER_SECOND` or faster
-//! continues. Once more than `MAX_BODY_WITHIN_DEADLINE_BYTES` have arrived, the deadline no longer applies.
+//! response before they have sent the whole body. How long the sender may pause is decided by `sender_pause`.
 
 use std::cell::{Cell, RefCell};
 use std::future::{poll_fn, Future};
@@ -18,12 +16,10 @@
 
 use super::client_wait::{ClientWait, TransferState};
 use super::read_ahead::{BodyEnd, ReadAhead};
+use super::sender_pause::PauseLimit;
+use super::{max_transfer_time, BodyError, STALL_TIMEOUT};
 use crate::memory::MemoryReservation;
 
-use super::{
-    max_transfer_time, BodyError, MAX_BODY_WITHIN_DEADLINE_BYTES, MIN_BYTES_PER_SECOND, STALL_TIMEOUT,
-};
-
 /// The interval at which it is checked whether the last byte of a request has arrived.
 const ARRIVAL_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -51,15 +47,15 @@
     max_bytes: u64,
     /// The time by which the transfer must be complete; `None` for a response, which waits for its reader.
     transfer_deadline: Option<Instant>,
-    /// The deadline of the request; `None` except for a response of unknown length.
-    request_deadline: Option<Instant>,
-    sender_wait: Cell<SenderWait>,
+    pause_limit: PauseLimit,
+    /// Since when the reader has waited for the sender; `None` if it does not wait.
+    awaiting_sender_since: Cell<Option<Instant>>,
     /// When the reader last took a part of the body, or the creation of the body before that.
     last_taken_at: Cell<Instant>,
     /// `None` for a response.
     arrival_probe: Option<ArrivalProbe>,
     client_wait: Cell<ClientWait>,
-    stall_timer: RefCell<Pin<Box<Sleep>>>,
+    pause_timer: RefCell<Pin<Box<Sleep>>>,
     is_read_started: Cell<bool>,
     completed_at: Cell<Option<Instant>>,
     failure: Cell<Option<BodyError>>,
@@ -79,36 +75,6 @@
     is_last: bool,
 }
 
-/// The time spent waiting for the sender of a body.
-#[derive(Clone, Copy, Default)]
-struct SenderWait {
-    /// The sum of the waits that have ended.
-    finished: Duration,
-    /// The start of the current wait, if any.
-    since: Option<Instant>,
-}
-
-impl SenderWait {
-    fn started(self, now: Instant) -> SenderWait {
-        SenderWait { since: self.since.or(Some(now)), ..self }
-    }
-
-    fn stopped(self, now: Instant) -> SenderWait {
-        let current = self.since.map_or(Duration::ZERO, |since| now - since);
-        SenderWait { finished: self.finished + current, since: None }
-    }
-}
-
-/// The maximum total time spent waiting for the sender of a response of unknown length, once the deadline of
-/// the request has passed and `bytes_read` have arrived. `None` if more than
-/// [`MAX_BODY_WITHIN_DEADLINE_BYTES`] have arrived, because the deadline applies only to the first bytes of
-/// such a body. Without this bound, a response that never ends would keep a proxy that is shutting down from
-/// ending.
-fn max_sender_wait(bytes_read: u64) -> Option<Duration> {
-    let is_bounded = bytes_read <= MAX_BODY_WITHIN_DEADLINE_BYTES;
-    is_bounded.then(|| Duration::from_millis(bytes_read * 1000 / MIN_BYTES_PER_SECOND))
-}
-
 impl StreamingBody {
     /// Creates the body of a request of at most `max_bytes`, of which `prefix` has been read. It is read to
     /// its end even if its reader is dropped.
@@ -135,7 +101,9 @@
     ) -> StreamingBody {
         let is_length_unknown = rest.size_hint().exact().is_none();
         let mut body = StreamingBody::new(rest, prefix, max_bytes);
-        body.request_deadline = is_length_unknown.then_some(request_deadline);
+        if is_length_unknown {
+            body.pause_limit = PauseLimit::past_deadline(request_deadline);
+        }
         body
     }
 
@@ -152,12 +120,12 @@
             bytes_read: Cell::new(prefix_bytes),
             max_bytes,
             transfer_deadline: None,
-            request_deadline: None,
-            sender_wait: Cell::default(),
+            pause_limit: PauseLimit::STALL_ONLY,
+            awaiting_sender_since: Cell::default(),
             last_taken_at: Cell::new(now),
             arrival_probe: None,
             client_wait: Cell::new(ClientWait::new(now)),
-            stall_timer: RefCell::new(Box::pin(sleep_until(now + STALL_TIMEOUT))),
+            pause_timer: RefCell::new(Box::pin(sleep_until(now + STALL_TIMEOUT))),
             is_read_started: Cell::new(false),
             completed_at: Cell::new(None),
             failure: Cell::new(None),
@@ -206,7 +174,7 @@
 
     /// Whether the body is incomplete and the sender has to send more of it before the reader can continue.
     pub fn is_awaiting_sender(&self) -> bool {
-        self.completed_at.get().is_none() && self.sender_wait.get().since.is_some()
+        self.completed_at.get().is_none() && self.awaiting_sender_since.get().is_some()
     }
 
     /// Waits until the client that sends this body has waited for its response for `timeout`. See
@@ -314,10 +282,10 @@
     ) -> Poll<Option<Result<Bytes, BodyError>>> {
         loop {
             let Poll::Ready(frame) = Pin::new(&mut *incoming).poll_frame(context) else {
-                let error = ready!(self.poll_stalled(context));
+                let error = ready!(self.poll_paused(context));
                 return Poll::Ready(Some(Err(self.fail(error))));
             };
-            self.sender_wait.set(self.sender_wait.get().stopped(Instant::now()));
+            self.awaiting_sender_since.set(None);
             let ReceivedChunk { data, is_last } = match self.received(frame, incoming.is_end_stream()) {
                 Ok(chunk) => chunk,
                 Err(error) => return Poll::Ready(Some(Err(self.fail(error)))),
@@ -369,29 +337,20 @@
         Ok(ReceivedChunk { data, is_last: is_end_stream })
     }
 
-    /// Becomes ready when the wait for the sender has been too long.
-    fn poll_stalled(&self, context: &mut Context<'_>) -> Poll<BodyError> {
-        let mut timer = self.stall_timer.borrow_mut();
-        let limit = self.sender_wait_limit(Instant::now());
-        let limit = limit.filter(|limit| *limit <= timer.deadline());
-        if let Some(limit) = limit {
-            timer.as_mut().reset(limit);
+    /// Starts or continues a wait for the sender. Becomes ready when the sender has paused for too long.
+    fn poll_paused(&self, context: &mut Context<'_>) -> Poll<BodyError> {
+        let since = self.awaiting_sender_since.get().unwrap_or_else(Instant::now);
+        self.awaiting_sender_since.set(Some(since));
+        let expiry = self.pause_limit.expiry(since, self.bytes_read.get());
+        let mut timer = self.pause_timer.borrow_mut();
+        if timer.deadline() != expiry.at {
+            timer.as_mut().reset(expiry.at);
         }
         ready!(timer.as_mut().poll(context));
-        Poll::Ready(if limit.is_some() { BodyError::PastDeadline } else { BodyError::Stalled })
+        Poll::Ready(expiry.error)
     }
 
-    /// Starts or continues a wait for the sender. Returns the time at which the wait must end, or `None` if
-    /// it is not bounded by the deadline of the request.
-    fn sender_wait_limit(&self, now: Instant) -> Option<Instant> {
-        let wait = self.sender_wait.get().started(now);
-        self.sender_wait.set(wait);
-        let left = max_sender_wait(self.bytes_read.get())?.saturating_sub(wait.finished);
-        let since = wait.since.unwrap_or(now);
-        Some(self.request_deadline?.max(since + left))
-    }
-
-    /// Counts bytes that were read, and restarts the stall timeout.
+    /// Counts bytes that were read.
     ///
     /// # Errors
     /// [`BodyError::TooLarge`] if the body exceeds its limit, [`BodyError::TooSlow`] if the transfer
@@ -401,11 +360,9 @@
         if self.bytes_read.get() > self.max_bytes {
             return Err(BodyError::TooLarge);
         }
-        let now = Instant::now();
-        if self.transfer_deadline.is_some_and(|deadline| deadline < now) {
+        if self.transfer_deadline.is_some_and(|deadline| deadline < Instant::now()) {
             return Err(BodyError::TooSlow);
         }
-        self.stall_timer.borrow_mut().as_mut().reset(now + STALL_TIMEOUT);
         Ok(())
     }
 
--- a/crates/testkit/src/http_message.rs
+++ b/crates/testkit/src/http_message.rs
@@ -9,7 +9,7 @@
     pub line: String,
     /// The names and values of the headers, in order.
     pub headers: Vec<(String, String)>,
-    /// The body, of the length that `Content-Length` gives.
+    /// The body, of the length that `Content-Length` gives, or decoded if it is chunked.
     pub body: Vec<u8>,
 }
 
@@ -39,12 +39,35 @@
         headers.push((name.to_owned(), value.trim().to_owned()));
     }
     let mut message = HttpMessage { line, headers, body: Vec::new() };
+    if message.header("transfer-encoding").is_some_and(|coding| coding.eq_ignore_ascii_case("chunked")) {
+        message.body = read_chunks(from)?;
+        return Some(message);
+    }
     let length = message.header("content-length").map_or(0, |value| value.parse().expect("a length"));
     message.body = vec![0; length];
     from.read_exact(&mut message.body).ok()?;
     Some(message)
 }
 
+/// Reads a chunked body and its trailers. Returns `None` if the connection ends before it is complete.
+fn read_chunks(from: &mut impl BufRead) -> Option<Vec<u8>> {
+    let mut body = Vec::new();
+    loop {
+        let line = read_line(from)?;
+        let digits = line.split(';').next().unwrap_or_default();
+        let size = usize::from_str_radix(digits.trim(), 16).ok()?;
+        if size == 0 {
+            break;
+        }
+        let start = body.len();
+        body.resize(start + size, 0);
+        from.read_exact(&mut body[start..]).ok()?;
+        read_line(from).filter(String::is_empty)?;
+    }
+    while !read_line(from)?.is_empty() {}
+    Some(body)
+}
+
 fn read_line(from: &mut impl BufRead) -> Option<String> {
     let mut line = String::new();
     let length = from.read_line(&mut line).ok()?;
