A streamed response that has stopped is cut off before the process may be killed

Callers of requests that came later than 0.7 s after SIGTERM would find their response cut by the kill: it had begun and its endpoint had fallen silent.

Cause: nothing ended a response that had stopped before its pause was too long: 2.5 s for one of unknown length, 10 s for one with a length.

Change: the shutdown decides (`shutdown::StreamedResponse`): from 0.2 s before the kill, responses of endpoints that have been silent for 1 s are cut off, and for 0.1 s if the request is lost at the kill; those that are still written go on, and if no kill comes, responses of unknown length end 0.3 s after it was due. Silence counts only while the client could take more; the same look keeps a client from being blamed for it.

--- a/crates/proxy/src/body/streaming.rs
+++ b/crates/proxy/src/body/streaming.rs
@@ -174,7 +174,12 @@
 
     /// Whether the body is incomplete and the sender has to send more of it before the reader can continue.
     pub fn is_awaiting_sender(&self) -> bool {
-        self.completed_at.get().is_none() && self.awaiting_sender_since.get().is_some()
+        self.awaiting_sender_since().is_some()
+    }
+
+    /// Since when the reader has waited for the sender; `None` if it does not wait.
+    pub fn awaiting_sender_since(&self) -> Option<Instant> {
+        self.awaiting_sender_since.get().filter(|_| self.completed_at.get().is_none())
     }
 
     /// Waits until the client that sends this body has waited for its response for `timeout`. See
--- a/crates/proxy/src/downstream/connection.rs
+++ b/crates/proxy/src/downstream/connection.rs
@@ -1,12 +1,14 @@
 //! The state of one client connection, shared by its protocol, the timeouts and the drain.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
 
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
 use super::cut_off::CutOffReason;
-use crate::body::STALL_TIMEOUT;
+use crate::body::{StreamingBody, STALL_TIMEOUT};
 use crate::clock::Clock;
 use crate::exchange::{DisconnectProbe, MAX_HEAD_BYTES};
 use crate::router::RouterConnectionState;
@@ -23,7 +25,8 @@
     last_used_at: Cell<Instant>,
     close_phase: Cell<ClosePhase>,
     close_phase_changed: Notify,
-    response_progress: Cell<Option<ResponseWriteProgress>>,
+    request_received_at: Cell<Instant>,
+    streamed_response: RefCell<Option<StreamedResponse>>,
     idle_abort_request: Notify,
     abort_request: Notify,
     abort_reason: Cell<Option<CutOffReason>>,
@@ -40,12 +43,12 @@
     WhenIdle,
 }
 
-/// The write progress of a streamed response at the last check.
-#[derive(Clone, Copy)]
-struct ResponseWriteProgress {
+/// A response that is being streamed, and its write progress at the last check.
+struct StreamedResponse {
+    body: Rc<StreamingBody>,
     bytes_written: u64,
     /// When `bytes_written` last changed.
-    since: Instant,
+    progress_at: Instant,
 }
 
 impl DownstreamConnection {
@@ -59,7 +62,8 @@
             last_used_at: Cell::new(Instant::now()),
             close_phase: Cell::new(ClosePhase::Open),
             close_phase_changed: Notify::new(),
-            response_progress: Cell::new(None),
+            request_received_at: Cell::new(Instant::now()),
+            streamed_response: RefCell::default(),
             idle_abort_request: Notify::new(),
             abort_request: Notify::new(),
             abort_reason: Cell::new(None),
@@ -86,6 +90,7 @@
     /// Records that a request has arrived.
     pub fn on_request_received(&self) {
         self.has_received_request.set(true);
+        self.request_received_at.set(Instant::now());
     }
 
     /// The time of the last response, or of the connection's start if there was none.
@@ -100,7 +105,7 @@
 
     /// Marks the current HTTP request as answered; bytes that arrive from now on belong to the next request.
     pub fn finish_request(&self) {
-        self.response_progress.set(None);
+        self.streamed_response.take();
         self.on_response();
         self.is_busy.set(false);
         self.socket.start_next_message(MAX_HEAD_BYTES);
@@ -120,27 +125,47 @@
     // ---- Streamed responses ----
 
     /// Records that a streamed response starts.
-    pub fn on_response_start(&self) {
+    pub fn on_response_start(&self, body: Rc<StreamingBody>) {
         self.socket.limit_unsent_bytes();
-        self.on_response_progress();
-    }
-
-    fn on_response_progress(&self) {
-        let progress =
-            ResponseWriteProgress { bytes_written: self.socket.bytes_written(), since: Instant::now() };
-        self.response_progress.set(Some(progress));
+        let bytes_written = self.socket.bytes_written();
+        let response = StreamedResponse { body, bytes_written, progress_at: Instant::now() };
+        self.streamed_response.replace(Some(response));
     }
 
     /// Whether the client has read nothing of a streamed response for longer than [`STALL_TIMEOUT`]. Call
     /// periodically: progress is measured between calls. Bytes that were written are bytes that the client's
-    /// machine has room for, but for those that [`Socket::limit_unsent_bytes`] allows.
+    /// machine has room for, but for those that [`Socket::limit_unsent_bytes`] allows. While the endpoint is
+    /// silent, there is nothing to read.
     pub fn is_response_stalled(&self) -> bool {
-        let Some(progress) = self.response_progress.get() else { return false };
-        if self.socket.bytes_written() != progress.bytes_written {
-            self.on_response_progress();
+        let mut response = self.streamed_response.borrow_mut();
+        let Some(response) = response.as_mut() else { return false };
+        let bytes_written = self.socket.bytes_written();
+        if response.bytes_written != bytes_written || self.is_endpoint_awaited(&response.body) {
+            response.bytes_written = bytes_written;
+            response.progress_at = Instant::now();
             return false;
         }
-        progress.since.elapsed() > STALL_TIMEOUT
+        response.progress_at.elapsed() > STALL_TIMEOUT
+    }
+
+    /// Whether the endpoint has to send more of a response before the client can read more. If the socket takes
+    /// nothing, the body may have more without being asked for it.
+    fn is_endpoint_awaited(&self, body: &StreamingBody) -> bool {
+        body.awaiting_sender_since().is_some() && self.socket.is_writable()
+    }
+
+    /// The state that decides whether the response that is being streamed is cut off during a shutdown; `None`
+    /// if there is none.
+    pub fn streamed_response_state(&self, clock: Clock) -> Option<shutdown::StreamedResponse> {
+        let response = self.streamed_response.borrow();
+        let body = &response.as_ref()?.body;
+        let silent_since = body.awaiting_sender_since().filter(|_| self.socket.is_writable());
+        let silent_for = silent_since.map_or(Duration::ZERO, |since| since.elapsed());
+        Some(shutdown::StreamedResponse {
+            received_at: clock.now() - self.request_received_at.get().elapsed().as_micros() as decide::Micros,
+            endpoint_silent_for: silent_for.as_micros() as decide::Micros,
+            is_length_unknown: body.size_hint().exact().is_none(),
+        })
     }
 
     // ---- Close ----
--- a/crates/proxy/src/downstream/drain.rs
+++ b/crates/proxy/src/downstream/drain.rs
@@ -13,6 +13,7 @@
 use tokio::time::{timeout, timeout_at, Instant};
 
 use super::connection::DownstreamConnection;
+use super::cut_off::CutOffReason;
 use super::{accept, ListenerState};
 use crate::clock::Clock;
 use crate::log::log_line;
@@ -172,6 +173,11 @@
 /// Applies the action that the shutdown decides on for a connection.
 fn close_connection(drain: &DrainState, connection: &DownstreamConnection, now: Micros) {
     let shutdown = drain.shutdown.borrow();
+    let response = connection.streamed_response_state(drain.clock);
+    if response.is_some_and(|response| shutdown.must_cut_off(now, &response)) {
+        connection.abort(CutOffReason::Shutdown);
+        return;
+    }
     let state = connection.shutdown_state(drain.clock, drain.is_accept_time_over());
     match shutdown.connection_action(now, &state) {
         ConnectionAction::Keep => {}
--- a/crates/proxy/src/downstream/http/response.rs
+++ b/crates/proxy/src/downstream/http/response.rs
@@ -105,8 +105,8 @@
         cut_offs: Rc::clone(cut_offs),
         request_id,
     });
-    if stream_guard.is_some() {
-        connection.on_response_start();
+    if let Some(stream) = body.streaming() {
+        connection.on_response_start(Rc::clone(stream));
     }
     let mut response = Response::new(ResponseBody { content: body, stream_guard });
     *response.headers_mut() = headers;
--- a/crates/proxy/src/socket.rs
+++ b/crates/proxy/src/socket.rs
@@ -192,6 +192,13 @@
         }
     }
 
+    /// Whether the kernel may accept bytes, as far as the runtime has observed.
+    pub fn is_writable(&self) -> bool {
+        // Polling for readiness itself would replace the waker of the task that writes.
+        let ready = pin!(self.0.stream.ready(Interest::WRITABLE));
+        ready.poll(&mut Context::from_waker(Waker::noop())).is_ready()
+    }
+
     /// The number of bytes that have arrived and have not been read; `None` if the kernel does not tell.
     pub fn unread_bytes(&self) -> Option<u64> {
         rustix::io::ioctl_fionread(&self.0.stream).ok()
--- a/crates/shutdown/src/lib.rs
+++ b/crates/shutdown/src/lib.rs
@@ -5,6 +5,9 @@
 //! belongs to one listener. The same state machine covers tiers of one or two proxies, larger tiers, and a
 //! proxy that shares its listening socket with its successor.
 //!
+//! Shortly before the kill, streamed responses whose endpoint has fallen silent are cut off, so that their clients
+//! see it; one that an endpoint still sends goes on until the kill.
+//!
 //! A process also exits if clients keep their requests open: a bound after the longest client timeout.
 //!
 //! ```text
@@ -16,10 +19,12 @@
 
 mod connection;
 mod policy;
+mod response;
 mod state;
 
 pub use connection::{ConnectionAction, ConnectionState};
 pub use policy::ShutdownPolicy;
+pub use response::StreamedResponse;
 pub use state::Shutdown;
 
 /// Microseconds on a monotonic clock.
--- a/crates/shutdown/src/policy.rs
+++ b/crates/shutdown/src/policy.rs
@@ -6,7 +6,7 @@
 /// shutdown.
 const MIN_ACCEPT_TIME: Micros = 500 * MILLISECOND;
 /// The minimum time between the longest client timeout and the kill.
-const KILL_DELAY: Micros = 700 * MILLISECOND;
+pub(crate) const KILL_DELAY: Micros = 700 * MILLISECOND;
 /// The longest client timeout that delays the kill. Longer timeouts count as this one.
 const MAX_COUNTED_CLIENT_TIMEOUT: Micros = 3_000 * MILLISECOND;
 /// The time before the kill at which requests are no longer accepted. Most requests are served within it.
@@ -44,7 +44,7 @@
 
 impl ShutdownPolicy {
     /// Returns the time from the beginning of the shutdown until the earliest kill.
-    fn time_until_kill(&self) -> Micros {
+    pub(crate) fn time_until_kill(&self) -> Micros {
         self.longest_client_timeout.clamp(0, MAX_COUNTED_CLIENT_TIMEOUT) + KILL_DELAY
     }
 
--- a/crates/shutdown/src/state.rs
+++ b/crates/shutdown/src/state.rs
@@ -1,6 +1,7 @@
 //! The state machine of a shutdown.
 
-use crate::{ConnectionAction, ConnectionState, Micros, ShutdownPolicy, MILLISECOND};
+use crate::policy::KILL_DELAY;
+use crate::{ConnectionAction, ConnectionState, Micros, ShutdownPolicy, StreamedResponse, MILLISECOND};
 
 /// The minimum time for a request, however late it is received. It is enough to reject the request with a
 /// response.
@@ -8,6 +9,8 @@
 /// The time after the end of acceptance for which the rest of a partial request is awaited if there is no
 /// kill deadline.
 const PARTIAL_REQUEST_TIMEOUT: Micros = 1_000 * MILLISECOND;
+/// How late the kill may come. Responses that may never end do not keep the process for longer.
+const KILL_LATENESS: Micros = 300 * MILLISECOND;
 /// The fraction of the recorded lateness that remains at the next observation.
 const LATENESS_DECAY: f64 = 0.95;
 
@@ -90,6 +93,17 @@
         self.policy.has_kill_deadline && self.responses_due_at().is_some_and(|due_at| due_at <= now)
     }
 
+    /// Returns whether a streamed response must be cut off now. Always false without a kill deadline.
+    ///
+    /// A request that came within [`KILL_DELAY`] is not lost if it is open at the kill, but is lost if this
+    /// process ends its response while the endpoint still sends it; one that came later is lost if it is open.
+    #[must_use]
+    pub fn must_cut_off(&self, now: Micros, response: &StreamedResponse) -> bool {
+        let Some(began_at) = self.began_at.filter(|_| self.is_time_up(now)) else { return false };
+        let is_past_kill = now >= began_at + self.policy.time_until_kill() + KILL_LATENESS;
+        response.is_silent(began_at + KILL_DELAY) || (response.is_length_unknown && is_past_kill)
+    }
+
     /// Returns the time that a request received at `now` may take, given the timeout of its client, in
     /// microseconds.
     #[must_use]
--- a/crates/shutdown/tests/shutdown.rs
+++ b/crates/shutdown/tests/shutdown.rs
@@ -3,7 +3,7 @@
 
 mod shutdown_simulation;
 
-use shutdown::{ConnectionAction, ConnectionState, Shutdown, ShutdownPolicy};
+use shutdown::{ConnectionAction, ConnectionState, Shutdown, ShutdownPolicy, StreamedResponse};
 use shutdown_simulation::{run, World, MILLISECOND};
 
 fn policy(
@@ -122,3 +122,40 @@
     assert!(!shutdown.may_exit(exits_at - 1, 1, 1) && shutdown.may_exit(exits_at - 1, 1, 0));
     assert!(shutdown.may_exit(exits_at, 1, 1), "one client must not keep the process");
 }
+
+/// The state of a response of unknown length to a request that came at `received_at`.
+fn streamed_response(received_at: shutdown::Micros, silent_for: shutdown::Micros) -> StreamedResponse {
+    StreamedResponse { received_at, endpoint_silent_for: silent_for, is_length_unknown: true }
+}
+
+/// Guards against cutting off what an endpoint still sends before the kill, and against responses that stop and are
+/// open at the kill.
+#[test]
+fn only_responses_of_silent_endpoints_are_cut_off_before_the_kill() {
+    let mut shutdown = Shutdown::new(policy(1000 * MILLISECOND, false, false));
+    let (early, late) = (600 * MILLISECOND, 800 * MILLISECOND);
+    let [silent, paused, flowing] = [1_000, 900, 20].map(|silence| silence * MILLISECOND);
+    assert!(!shutdown.must_cut_off(0, &streamed_response(0, silent)), "before the shutdown");
+    shutdown.begin(0);
+    for now in [0, 1_400 * MILLISECOND] {
+        assert!(!shutdown.must_cut_off(now, &streamed_response(late, silent)), "before responses are due");
+    }
+    let due_at = shutdown.responses_due_at().expect("begun");
+    assert!(shutdown.must_cut_off(due_at, &streamed_response(early, silent)));
+    assert!(!shutdown.must_cut_off(due_at, &streamed_response(early, paused)));
+    assert!(shutdown.must_cut_off(due_at, &streamed_response(late, paused)), "it is lost at the kill");
+    assert!(!shutdown.must_cut_off(due_at, &streamed_response(late, flowing)));
+    let past_kill = 2_000 * MILLISECOND;
+    assert!(shutdown.must_cut_off(past_kill, &streamed_response(early, flowing)));
+    let known = StreamedResponse { is_length_unknown: false, ..streamed_response(early, flowing) };
+    assert!(!shutdown.must_cut_off(past_kill, &known), "it ends by itself");
+}
+
+#[test]
+fn without_a_kill_no_response_is_cut_off() {
+    let without_kill =
+        ShutdownPolicy { has_kill_deadline: false, ..policy(1000 * MILLISECOND, false, false) };
+    let mut shutdown = Shutdown::new(without_kill);
+    shutdown.begin(0);
+    assert!(!shutdown.must_cut_off(60_000 * MILLISECOND, &streamed_response(0, 60_000 * MILLISECOND)));
+}
