An upload that its endpoint reads slowly is answered in time, whatever its size

Callers of uploads to endpoints that read 90 kB a second had their answer seconds late, or none.

Cause: while the endpoint is the slower side, the end of the body lies unseen in the buffers of the client's kernel and of ours, and each part that the endpoint took started the client's time anew. Reading ahead showed the end only of what fits 1 MiB and the memory for requests.

Change: `body::client_wait` counts from the last time that is known to precede the last byte: everything that had come was read, or 4 MiB more, the most that a client's kernel holds, have arrived since. If more than that is missing of a known length, the client is sending, and the endpoint may pause for 2.5 s. The read-ahead is 4 MiB, within the same part of the memory.

Tests: the unit test that demanded a new start of the time with each part demanded the fault; the one in its place demands the opposite for the same observations. an_upload_that_its_endpoint_reads_slowly_is_answered_in_time now has six sizes of 0.2 to 32 MB beside each other, with a length and chunked, in 32 MB of memory. an_upload_that_its_endpoint_reads_with_pauses_is_served is chunked as well.

--- a/crates/proxy/src/body/mod.rs
+++ b/crates/proxy/src/body/mod.rs
@@ -23,6 +23,7 @@
 use crate::memory::MemoryReservation;
 
 pub use buffering::{buffer, BufferOutcome};
+pub use client_wait::Arrival;
 pub use streaming::{discard_rest, ArrivalProbe, StreamingBody};
 
 /// The largest body that is streamed in the platform mode, in bytes.
--- a/crates/proxy/src/body/read_ahead.rs
+++ b/crates/proxy/src/body/read_ahead.rs
@@ -10,11 +10,13 @@
 use bytes::Bytes;
 
 use super::buffering::MAX_CHUNK_BYTES;
+use super::client_wait::MAX_CLIENT_BUFFER_BYTES;
 use super::BodyError;
 use crate::memory::MemoryReservation;
 
-/// The largest part of a body that is read ahead, in bytes.
-const MAX_READ_AHEAD_BYTES: usize = 1 << 20;
+/// The largest part of a body that is read ahead, in bytes: as many as the kernel of a client may hold, so that a
+/// client that is that far ahead of the endpoint is seen to be sending.
+const MAX_READ_AHEAD_BYTES: usize = MAX_CLIENT_BUFFER_BYTES as usize;
 
 /// How the sender ended a body.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/proxy/src/body/sender_pause.rs
+++ b/crates/proxy/src/body/sender_pause.rs
@@ -9,9 +9,11 @@
 
 use super::{BodyError, MAX_BODY_WITHIN_DEADLINE_BYTES, STALL_TIMEOUT};
 
+/// The longest pause of an endpoint that is expected to go on. Endpoints pause for up to 2 s.
+pub(super) const MAX_ENDPOINT_PAUSE: Duration = Duration::from_millis(2500);
 /// The longest pause, after the deadline of the request, in a response of unknown length of which no more than
-/// [`MAX_BODY_WITHIN_DEADLINE_BYTES`] have arrived. Endpoints pause for up to 2 s.
-pub(super) const MAX_PAUSE_PAST_DEADLINE: Duration = Duration::from_millis(2500);
+/// [`MAX_BODY_WITHIN_DEADLINE_BYTES`] have arrived.
+pub(super) const MAX_PAUSE_PAST_DEADLINE: Duration = MAX_ENDPOINT_PAUSE;
 
 /// The limit on the pauses of one body.
 #[derive(Clone, Copy, Debug)]
--- a/crates/proxy/src/downstream/request/mod.rs
+++ b/crates/proxy/src/downstream/request/mod.rs
@@ -22,7 +22,7 @@
 pub use routed::{route, RoutedRequest};
 
 use super::error::{InvalidRequest, RequestError};
-use crate::body::{self, ArrivalProbe, BufferOutcome, MessageBody, StreamingBody};
+use crate::body::{self, Arrival, ArrivalProbe, BufferOutcome, MessageBody, StreamingBody};
 use crate::exchange::{FinalResponse, UpstreamRequest, MAX_BUFFERED_BODY_BYTES};
 use crate::idempotency_keys::ReservedKey;
 use crate::memory::{self, MemoryBudget, MemoryReservation};
@@ -186,13 +186,13 @@
         Err(if is_in_time { InvalidRequest::BodyTooLarge } else { InvalidRequest::SlowBody }.into())
     }
 
-    /// A probe for whether a message of this length has arrived. The end of a message of unknown length is
+    /// A probe for how much of a message of this length has arrived. The end of a message of unknown length is
     /// only seen when it is read.
-    fn arrival_probe(&self, message_bytes: Option<u64>) -> ArrivalProbe {
+    fn arrival_probe(&self, total: Option<u64>) -> ArrivalProbe {
         let socket = self.socket.clone();
         ArrivalProbe::new(move || {
             let unread = socket.unread_bytes().unwrap_or(0);
-            message_bytes.is_some_and(|bytes| socket.message_bytes() + unread >= bytes)
+            Arrival { read: socket.message_bytes(), unread, total }
         })
     }
 
--- a/tests/slow_peers.rs
+++ b/tests/slow_peers.rs
@@ -28,7 +28,9 @@
     let discovery = MockDiscovery::new();
     let mut setup = Setup { latency_objective_ms: LATENCY_OBJECTIVE_MS, ..Setup::with_endpoints(&[]) };
     setup.endpoints = vec![host("s-0", endpoint, "SERVING")];
-    let platform = start_config(&setup.config(discovery.address));
+    let config = setup.config(discovery.address);
+    let platform =
+        start_config(&config.replace("\"memory_mb\":192", &format!("\"memory_mb\":{MEMORY_LIMIT_MB}")));
     platform.wait_until_ready();
     let class = |name: &str, semantics: &str| {
         format!(
@@ -71,6 +73,7 @@
     let head = upload_head(&format!("{framing:?}-{size}"), size, framing);
     let mut client = BufReader::new(TcpStream::connect(address).expect("connects"));
     client.get_ref().set_read_timeout(Some(CLIENT_TIMEOUT + 3 * MAX_LATENESS)).expect("set");
+    client.get_ref().set_write_timeout(Some(TEST_TIMEOUT)).expect("set");
     let body = vec![b'r'; size];
     client.get_mut().write_all(head.as_bytes()).expect("written");
     // The proxy reads a body to its end even after its response, so each write completes.
@@ -116,13 +119,13 @@
 const ENDPOINT_BUFFER: usize = 16 << 10;
 /// The rate at which a slow endpoint reads, in bytes per second.
 const ENDPOINT_RATE: usize = 90_000;
-/// A body that such an endpoint reads for several times as long as the client waits.
-const SLOWLY_READ_SIZE: usize = 1_200_000;
+/// Sizes of bodies that such an endpoint reads for up to several hundred times as long as the client waits.
+const SLOWLY_READ_SIZES: [usize; 6] = [200_000, 900_000, 1_200_000, 1_500_000, 4_000_000, 32_000_000];
+/// The lowest memory limit that the platform sets, in MiB.
+const MEMORY_LIMIT_MB: u64 = 32;
 
-/// Guards against answers that come seconds late: while the endpoint took part after part, the time of the client
-/// started anew with each of them, and the end of a chunked body was only seen when it was read.
-#[test]
-fn an_upload_that_its_endpoint_reads_slowly_is_answered_in_time() {
+/// An endpoint that reads [`ENDPOINT_RATE`] and never responds.
+fn slowly_reading_endpoint() -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
     SockRef::from(&listener).set_recv_buffer_size(ENDPOINT_BUFFER).expect("set");
     let endpoint = listener.local_addr().expect("bound");
@@ -138,13 +141,29 @@
             thread::spawn(move || read_slowly(stream));
         }
     });
-    for (mode, proxy, _discovery) in start_in_each_mode(endpoint) {
-        for framing in [BodyFraming::ContentLength, BodyFraming::Chunked] {
-            let (status, took) = upload(proxy.address, SLOWLY_READ_SIZE, framing);
-            let is_in_time = status.is_some() && took < CLIENT_TIMEOUT + MAX_LATENESS;
-            assert!(is_in_time, "{mode}, {framing:?}: {status:?} after {took:?}");
+    endpoint
+}
+
+/// Guards against answers that come seconds late: while the endpoint took part after part, the time of the client
+/// started anew with each of them, and the end of a chunked body was only seen when it was read.
+#[test]
+fn an_upload_that_its_endpoint_reads_slowly_is_answered_in_time() {
+    let (mut results, mut late_count) = (Vec::new(), 0);
+    for (mode, proxy, _discovery) in start_in_each_mode(slowly_reading_endpoint()) {
+        let address = proxy.address;
+        let uploads = [BodyFraming::ContentLength, BodyFraming::Chunked].map(|framing| {
+            SLOWLY_READ_SIZES
+                .map(|size| (size, framing, thread::spawn(move || upload(address, size, framing))))
+        });
+        for (size, framing, upload) in uploads.into_iter().flatten() {
+            let (status, took) = upload.join().expect("no panic");
+            results.push(format!("{mode}, {framing:?}, {size} bytes: {status:?} after {took:?}"));
+            late_count += usize::from(status.is_none() || took >= CLIENT_TIMEOUT + MAX_LATENESS);
         }
+        let used_kb = proxy.anonymous_memory_kb();
+        assert!(used_kb < MEMORY_LIMIT_MB << 10, "{mode}: {used_kb} kB");
     }
+    assert_eq!(late_count, 0, "{results:#?}");
 }
 
 /// Guards against taking a pause of the endpoint for its end: while the client is sending, its time starts anew
@@ -157,10 +176,11 @@
     let endpoint = raw_endpoint(move |mut stream| {
         let mut part = vec![0; PART_BYTES];
         let mut reader = BufReader::new(stream.try_clone().expect("a copy"));
-        let mut line = String::new();
+        let (mut line, mut is_chunked) = (String::new(), false);
         while line != "\r\n" {
             line.clear();
             reader.read_line(&mut line).expect("text");
+            is_chunked |= line.eq_ignore_ascii_case("transfer-encoding: chunked\r\n");
         }
         for _ in 0..PARTS {
             thread::sleep(pause);
@@ -168,21 +188,43 @@
                 return;
             }
         }
-        let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+        while is_chunked && line != "0\r\n" {
+            line.clear();
+            let Ok(1..) = reader.read_line(&mut line) else { return };
+        }
+        let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok");
         let _ = reader.read_to_end(&mut Vec::new());
     });
-    for (mode, proxy, _discovery) in start_in_each_mode(endpoint) {
-        let head = upload_head("paused", PARTS * PART_BYTES, BodyFraming::ContentLength);
-        let mut client = BufReader::new(TcpStream::connect(proxy.address).expect("connects"));
-        let started_at = Instant::now();
+    let upload_in_parts = |address: SocketAddr, framing: BodyFraming| {
+        let head = upload_head("paused", PARTS * PART_BYTES, framing);
+        let mut client = BufReader::new(TcpStream::connect(address).expect("connects"));
         client.get_mut().write_all(head.as_bytes()).expect("written");
+        let part = vec![b'r'; PART_BYTES];
         for _ in 0..PARTS {
-            client.get_mut().write_all(&vec![b'r'; PART_BYTES]).expect("written");
+            match framing {
+                BodyFraming::ContentLength => client.get_mut().write_all(&part).expect("written"),
+                BodyFraming::Chunked => {
+                    write!(client.get_mut(), "{PART_BYTES:x}\r\n").expect("written");
+                    client.get_mut().write_all(&part).expect("written");
+                    client.get_mut().write_all(b"\r\n").expect("written");
+                }
+            }
             thread::sleep(pause);
         }
-        let response = read_message(&mut client).expect("a response");
-        assert!(started_at.elapsed() > 2 * CLIENT_TIMEOUT, "the upload takes longer than its client waits");
-        assert_eq!(response.status(), 200, "{mode}");
+        if let BodyFraming::Chunked = framing {
+            client.get_mut().write_all(b"0\r\n\r\n").expect("written");
+        }
+        read_message(&mut client).expect("a response").status()
+    };
+    for (mode, proxy, _discovery) in start_in_each_mode(endpoint) {
+        for framing in [BodyFraming::ContentLength, BodyFraming::Chunked] {
+            let started_at = Instant::now();
+            assert_eq!(upload_in_parts(proxy.address, framing), 200, "{mode}, {framing:?}");
+            assert!(
+                started_at.elapsed() > 2 * CLIENT_TIMEOUT,
+                "the upload takes longer than its client waits"
+            );
+        }
     }
 }
 
