A response that begins right before the deadline is not failed because it is buffered

Callers saw 504 although their endpoint had begun a long response in time.

Cause: the 100 ms for which a response is buffered, so that it can still be retried, ran past the deadline of the attempt: a clock of this process ended what the endpoint had begun.

Change: buffering ends 10 ms before the deadline, and the response is streamed from then on.

--- a/crates/proxy/src/upstream/http_response.rs
+++ b/crates/proxy/src/upstream/http_response.rs
@@ -23,6 +23,8 @@
 /// The time for which a response that may be streamed is buffered first. An attempt whose connection closes
 /// within this time can still be retried.
 const RESPONSE_BUFFER_TIME: Duration = Duration::from_millis(100);
+/// The time that is left before the deadline to start streaming.
+const STREAM_START_TIME: Duration = Duration::from_millis(10);
 
 /// Reads a response: in full, or up to the point from which it is streamed.
 pub async fn read(
@@ -34,7 +36,8 @@
     let (head, body) = response.into_parts();
     let load_report = load_report(pool, &head.headers);
     let max_streamed_bytes = max_streamed_bytes(request, head.status, &body);
-    let (body, reusable_connection) = match buffer(body, max_streamed_bytes.is_some()).await {
+    let stream_from = max_streamed_bytes.map(|_| stream_from(request));
+    let (body, reusable_connection) = match buffer(body, stream_from).await {
         Ok(BufferOutcome::Complete(body)) => (Some(body.into()), Some(connection)),
         Ok(BufferOutcome::Partial { prefix, rest }) => {
             let max_bytes = max_streamed_bytes.unwrap_or_default();
@@ -62,12 +65,18 @@
     is_streamed.then_some(*max_bytes)
 }
 
-/// Reads the body in full. If it may be streamed, reads only what arrives within [`RESPONSE_BUFFER_TIME`] and
-/// fits the buffer.
-async fn buffer(body: Incoming, may_be_streamed: bool) -> Result<BufferOutcome, BodyError> {
-    if may_be_streamed {
-        let until = Instant::now() + RESPONSE_BUFFER_TIME;
-        return body::buffer(body, MAX_BUFFERED_BODY_BYTES, until).await;
+/// Until when a response that may be streamed is buffered. A response that begins in time is streamed before its
+/// attempt times out.
+fn stream_from(request: &AttemptRequest) -> Instant {
+    let deadline = request.response_deadline();
+    let last_start = deadline.checked_sub(STREAM_START_TIME).unwrap_or(deadline);
+    last_start.min(Instant::now() + RESPONSE_BUFFER_TIME)
+}
+
+/// Reads the body in full. If it may be streamed, reads only what arrives until `stream_from` and fits the buffer.
+async fn buffer(body: Incoming, stream_from: Option<Instant>) -> Result<BufferOutcome, BodyError> {
+    if let Some(stream_from) = stream_from {
+        return body::buffer(body, MAX_BUFFERED_BODY_BYTES, stream_from).await;
     }
     let body = Limited::new(body, MAX_BUFFERED_BODY_BYTES).collect().await;
     body.map(|body| BufferOutcome::Complete(body.to_bytes())).map_err(|_| BodyError::Interrupted)
--- a/tests/paused_streams.rs
+++ b/tests/paused_streams.rs
@@ -216,3 +216,29 @@
         }
     }
 }
+
+/// Guards against losing a response that begins in time because it is buffered past the deadline.
+#[test]
+fn a_long_response_that_begins_just_in_time_comes_whole() {
+    const TIMEOUT: Duration = Duration::from_millis(1000);
+    const FIRST_BYTES_AFTER: Duration = Duration::from_millis(930);
+    let endpoint = raw_endpoint(|mut stream| {
+        let mut reader = BufReader::new(stream.try_clone().expect("a copy"));
+        let request = read_message(&mut reader).expect("a request");
+        let framing = FRAMINGS[usize::from(request.header("x-seed") == Some("1"))];
+        thread::sleep(FIRST_BYTES_AFTER);
+        let _ = stream.write_all(framing.head().as_bytes());
+        let _ = stream.write_all(&framing.piece(&pattern(37)));
+        thread::sleep(Duration::from_millis(300));
+        let _ = stream.write_all(&framing.piece(&pattern(100_000)));
+        let _ = stream.write_all(framing.end().as_bytes());
+    });
+    for (mode, proxy, _discovery) in start_in_each_mode(endpoint, TIMEOUT.as_millis() as u32) {
+        for (seed, framing) in FRAMINGS.iter().enumerate() {
+            let request = read(&format!("r-{seed}"), TIMEOUT.as_millis() as u32)
+                .replace("\r\n\r\n", &format!("\r\nX-Seed: {seed}\r\n\r\n"));
+            let body = download(proxy.address, &request);
+            assert_eq!(body.map(|body| body.len()), Some(100_037), "{mode}, {framing:?}");
+        }
+    }
+}
