--- a/tests/paused_streams.rs
+++ b/tests/paused_streams.rs
@@ -94,36 +94,6 @@
     }
 }
 
-/// Starts a proxy with one endpoint in platform mode and in standalone mode.
-fn start_in_each_mode(
-    endpoint: SocketAddr,
-    deadline_ms: u32,
-) -> [(&'static str, Process, Option<MockDiscovery>); 2] {
-    let discovery = MockDiscovery::new();
-    let mut setup = Setup { latency_objective_ms: deadline_ms, deadline_ms, ..Setup::with_endpoints(&[]) };
-    setup.endpoints = vec![host("s-0", endpoint, "SERVING")];
-    let platform = start_config(&with_operators_address(&setup.config(discovery.address)));
-    platform.wait_until_ready();
-    let class = |name: &str, semantics: &str| {
-        format!(
-            "[[class]]\nname = \"{name}\"\naim_ms = {deadline_ms}\ndeadline_ms = {deadline_ms}\nsemantics = \"{semantics}\"\n\
-             [[route]]\nname = \"{name}\"\nmatch = {{ path = \"/{name}/*\" }}\nclass = \"{name}\"\npool = \"p\"\n"
-        )
-    };
-    let standalone = start_standalone(
-        &format!(
-            "[server]\nlisten = [{{ address = \"127.0.0.1:0\" }}]\n[operators]\nlisten = \"127.0.0.1:0\"\n\
-             [limits]\nbody_bytes = {}\n\
-             [[pool]]\nname = \"p\"\nnodes = [{{ name = \"n\", address = \"{endpoint}\" }}]\n{}{}",
-            40 << 20,
-            class("read", "idempotent"),
-            class("write", "at-most-once"),
-        ),
-        &[],
-    );
-    [("platform", platform, Some(discovery)), ("standalone", standalone, None)]
-}
-
 /// Sends a request and reads its response to the end. `None` if the response is not complete.
 fn download(address: SocketAddr, request: &str) -> Option<Vec<u8>> {
     let mut client = BufReader::new(TcpStream::connect(address).expect("connects"));
@@ -141,7 +111,7 @@
     let mut proxies = Vec::new();
     let mut downloads = Vec::new();
     for deadline_ms in [400, 1000, 2500] {
-        for (mode, proxy, discovery) in start_in_each_mode(endpoint, deadline_ms) {
+        for (mode, proxy, discovery) in start_in_each_mode(endpoint, ClassTimes::deadline(deadline_ms)) {
             let address = proxy.address;
             for seed in 0..RESPONSES {
                 // Every other pair of clients waits for longer than the class allows.
@@ -179,7 +149,9 @@
             let _ = reader.read_to_end(&mut Vec::new());
             let _ = endpoint_closed.lock().expect("unpoisoned").send(());
         });
-        for (mode, proxy, _discovery) in start_in_each_mode(endpoint, DEADLINE.as_millis() as u32) {
+        for (mode, proxy, _discovery) in
+            start_in_each_mode(endpoint, ClassTimes::deadline(DEADLINE.as_millis() as u32))
+        {
             let started_at = Instant::now();
             assert_eq!(download(proxy.address, &read("r-stops", 1000)), None, "{mode}, {framing:?}");
             let took = started_at.elapsed();
@@ -208,7 +180,9 @@
             }
             let _ = stream.write_all(framing.end().as_bytes());
         });
-        for (mode, proxy, _discovery) in start_in_each_mode(endpoint, TIMEOUT.as_millis() as u32) {
+        for (mode, proxy, _discovery) in
+            start_in_each_mode(endpoint, ClassTimes::deadline(TIMEOUT.as_millis() as u32))
+        {
             let started_at = Instant::now();
             let body = download(proxy.address, &read("r-small", TIMEOUT.as_millis() as u32));
             assert_eq!(body, Some(pattern(3000)), "{mode}, {framing:?}");
@@ -233,7 +207,9 @@
         let _ = stream.write_all(&framing.piece(&pattern(100_000)));
         let _ = stream.write_all(framing.end().as_bytes());
     });
-    for (mode, proxy, _discovery) in start_in_each_mode(endpoint, TIMEOUT.as_millis() as u32) {
+    for (mode, proxy, _discovery) in
+        start_in_each_mode(endpoint, ClassTimes::deadline(TIMEOUT.as_millis() as u32))
+    {
         for (seed, framing) in FRAMINGS.iter().enumerate() {
             let request = read(&format!("r-{seed}"), TIMEOUT.as_millis() as u32)
                 .replace("\r\n\r\n", &format!("\r\nX-Seed: {seed}\r\n\r\n"));
--- a/tests/paused_transfers.rs
+++ b/tests/paused_transfers.rs
@@ -70,15 +70,8 @@
     points.iter().chain(body).copied().collect()
 }
 
-/// The class whose requests take this long at most, in platform mode.
 fn start(endpoint: SocketAddr) -> (Process, MockDiscovery) {
-    let discovery = MockDiscovery::new();
-    let deadline_ms = DEADLINE.as_millis() as u32;
-    let mut setup = Setup { latency_objective_ms: deadline_ms, deadline_ms, ..Setup::with_endpoints(&[]) };
-    setup.endpoints = vec![host("s-0", endpoint, "SERVING")];
-    let process = start_config(&setup.config(discovery.address));
-    process.wait_until_ready();
-    (process, discovery)
+    start_platform(endpoint, ClassTimes::deadline(DEADLINE.as_millis() as u32))
 }
 
 /// What a client got.
--- a/tests/slow_peers.rs
+++ b/tests/slow_peers.rs
@@ -16,41 +16,13 @@
 
 /// The time that the client of an upload waits, counted from its last byte.
 const CLIENT_TIMEOUT: Duration = Duration::from_millis(1250);
-/// The latency objective of each class; a request with less time is rejected at once.
-const LATENCY_OBJECTIVE_MS: u32 = 1000;
+/// The times of each class; a request with less time than the objective is rejected at once.
+const CLASS_TIMES: ClassTimes = ClassTimes { latency_objective_ms: 1000, deadline_ms: 9000 };
 /// A response that comes later than this after the client's timeout counts as lost.
 const MAX_LATENESS: Duration = Duration::from_millis(550);
 /// Sizes of uploads. Some fit the buffers of the kernel between the client and the endpoint, some do not.
 const UPLOAD_SIZES: [usize; 6] = [200_000, 1 << 20, 3 << 20, 5 << 20, 6 << 20, 8 << 20];
 
-/// Starts a proxy in platform mode or in standalone mode, with one endpoint.
-fn start_in_each_mode(endpoint: SocketAddr) -> [(&'static str, Process, Option<MockDiscovery>); 2] {
-    let discovery = MockDiscovery::new();
-    let mut setup = Setup { latency_objective_ms: LATENCY_OBJECTIVE_MS, ..Setup::with_endpoints(&[]) };
-    setup.endpoints = vec![host("s-0", endpoint, "SERVING")];
-    let config = setup.config(discovery.address);
-    let platform =
-        start_config(&config.replace("\"memory_mb\":192", &format!("\"memory_mb\":{MEMORY_LIMIT_MB}")));
-    platform.wait_until_ready();
-    let class = |name: &str, semantics: &str| {
-        format!(
-            "[[class]]\nname = \"{name}\"\naim_ms = {LATENCY_OBJECTIVE_MS}\ndeadline_ms = 9000\nsemantics = \"{semantics}\"\n\
-             [[route]]\nname = \"{name}\"\nmatch = {{ path = \"/{name}/*\" }}\nclass = \"{name}\"\npool = \"p\"\n"
-        )
-    };
-    let standalone = start_standalone(
-        &format!(
-            "[server]\nlisten = [{{ address = \"127.0.0.1:0\" }}]\n[limits]\nbody_bytes = {}\n\
-             [[pool]]\nname = \"p\"\nnodes = [{{ name = \"n\", address = \"{endpoint}\" }}]\n{}{}",
-            40 << 20,
-            class("read", "idempotent"),
-            class("write", "at-most-once"),
-        ),
-        &[],
-    );
-    [("platform", platform, Some(discovery)), ("standalone", standalone, None)]
-}
-
 /// How the end of an upload is marked.
 #[derive(Clone, Copy, Debug)]
 enum BodyFraming {
@@ -100,7 +72,7 @@
         thread::sleep(TEST_TIMEOUT);
     });
     let (mut results, mut late_count) = (Vec::new(), 0);
-    for (mode, proxy, _discovery) in start_in_each_mode(endpoint) {
+    for (mode, proxy, _discovery) in start_in_each_mode(endpoint, CLASS_TIMES) {
         for framing in [BodyFraming::ContentLength, BodyFraming::Chunked] {
             let address = proxy.address;
             let uploads = UPLOAD_SIZES.map(|size| thread::spawn(move || upload(address, size, framing)));
@@ -121,8 +93,6 @@
 const ENDPOINT_RATE: usize = 90_000;
 /// Sizes of bodies that such an endpoint reads for up to several hundred times as long as the client waits.
 const SLOWLY_READ_SIZES: [usize; 6] = [200_000, 900_000, 1_200_000, 1_500_000, 4_000_000, 32_000_000];
-/// The lowest memory limit that the platform sets, in MiB.
-const MEMORY_LIMIT_MB: u64 = 32;
 
 /// An endpoint that reads [`ENDPOINT_RATE`] and never responds.
 fn slowly_reading_endpoint() -> SocketAddr {
@@ -149,7 +119,7 @@
 #[test]
 fn an_upload_that_its_endpoint_reads_slowly_is_answered_in_time() {
     let (mut results, mut late_count) = (Vec::new(), 0);
-    for (mode, proxy, _discovery) in start_in_each_mode(slowly_reading_endpoint()) {
+    for (mode, proxy, _discovery) in start_in_each_mode(slowly_reading_endpoint(), CLASS_TIMES) {
         let address = proxy.address;
         let uploads = [BodyFraming::ContentLength, BodyFraming::Chunked].map(|framing| {
             SLOWLY_READ_SIZES
@@ -161,7 +131,7 @@
             late_count += usize::from(status.is_none() || took >= CLIENT_TIMEOUT + MAX_LATENESS);
         }
         let used_kb = proxy.anonymous_memory_kb();
-        assert!(used_kb < MEMORY_LIMIT_MB << 10, "{mode}: {used_kb} kB");
+        assert!(used_kb < MIN_MEMORY_LIMIT_MB << 10, "{mode}: {used_kb} kB");
     }
     assert_eq!(late_count, 0, "{results:#?}");
 }
@@ -216,7 +186,7 @@
         }
         read_message(&mut client).expect("a response").status()
     };
-    for (mode, proxy, _discovery) in start_in_each_mode(endpoint) {
+    for (mode, proxy, _discovery) in start_in_each_mode(endpoint, CLASS_TIMES) {
         for framing in [BodyFraming::ContentLength, BodyFraming::Chunked] {
             let started_at = Instant::now();
             assert_eq!(upload_in_parts(proxy.address, framing), 200, "{mode}, {framing:?}");
@@ -281,7 +251,7 @@
 /// nothing.
 #[test]
 fn a_large_response_is_not_cut_off_for_a_client_that_reads_slowly() {
-    let proxies = start_in_each_mode(large_response_endpoint());
+    let proxies = start_in_each_mode(large_response_endpoint(), CLASS_TIMES);
     let readers: Vec<_> = proxies
         .iter()
         .map(|(mode, proxy, _)| {
@@ -322,7 +292,7 @@
 /// Guards the limit itself: a client that reads nothing does not keep its connections for ever.
 #[test]
 fn a_client_that_reads_nothing_is_disconnected() {
-    for (mode, proxy, _discovery) in start_in_each_mode(large_response_endpoint()) {
+    for (mode, proxy, _discovery) in start_in_each_mode(large_response_endpoint(), CLASS_TIMES) {
         let mut stream = TcpStream::connect(proxy.address).expect("connects");
         stream.write_all(read("unread", 9000).as_bytes()).expect("written");
         proxy.wait_for_log("closing the connection of a client that has read nothing");
--- a/tests/slow_shutdown.rs
+++ b/tests/slow_shutdown.rs
@@ -25,15 +25,8 @@
 /// The bytes that follow the head at once.
 const FIRST_BYTES: usize = 900;
 
-/// Starts the only proxy of a tier, in platform mode.
 fn start(endpoint: SocketAddr) -> (Process, MockDiscovery) {
-    let discovery = MockDiscovery::new();
-    let deadline_ms = DEADLINE.as_millis() as u32;
-    let mut setup = Setup { latency_objective_ms: deadline_ms, deadline_ms, ..Setup::with_endpoints(&[]) };
-    setup.endpoints = vec![host("s-0", endpoint, "SERVING")];
-    let process = start_config(&setup.config(discovery.address));
-    process.wait_until_ready();
-    (process, discovery)
+    start_platform(endpoint, ClassTimes::deadline(DEADLINE.as_millis() as u32))
 }
 
 /// An endpoint that sends the head of the response that the request names, then the first bytes, and then calls
--- a/tests/stubs/mod.rs
+++ b/tests/stubs/mod.rs
@@ -3,6 +3,7 @@
 
 mod endpoints;
 mod files;
+mod modes;
 mod platform;
 mod process;
 mod standalone;
@@ -11,6 +12,7 @@
 
 pub use endpoints::*;
 pub use files::temp_folder;
+pub use modes::*;
 pub use platform::*;
 pub use process::{wait_until, Process};
 pub use standalone::*;
