Connections that are closed for a late head do not flood the log

Cause: each had a line of its own since the reasons are logged, up to 20 a second: the test of idle connections at the limit of descriptors failed in the whole run ("the log is flooded").

Change: connections without a request have a limit of their own, one line in 10 s; the metric counts them all.

Measured: idle_connections_at_the_descriptor_limit_block_no_client_while_discovery_is_down failed with it and passes.

--- a/crates/proxy/src/downstream/cut_off.rs
+++ b/crates/proxy/src/downstream/cut_off.rs
@@ -12,9 +12,10 @@
 use crate::log::log_line;
 use crate::metrics::CutOffCounters;
 
-/// The number of lines that are logged in each [`LOG_PERIOD`]. Clients could otherwise flood the log.
-const MAX_LINES_PER_PERIOD: u32 = 20;
-const LOG_PERIOD: Duration = Duration::from_secs(1);
+/// How many lines are logged of requests and responses. Clients could otherwise flood the log.
+const STREAM_LINES: LineRate = LineRate { lines: 20, period: Duration::from_secs(1) };
+/// How many lines are logged of connections, which idle clients open by the hundred.
+const CONNECTION_LINES: LineRate = LineRate { lines: 1, period: Duration::from_secs(10) };
 
 /// The id of a request as it is logged: the header that carries it, if there is one.
 #[derive(Clone, Debug, Default)]
@@ -97,12 +98,40 @@
     }
 }
 
+/// The most lines of a kind in a period.
+#[derive(Clone, Copy, Debug)]
+struct LineRate {
+    lines: u32,
+    period: Duration,
+}
+
+/// The lines of a kind that were logged in the current period.
+#[derive(Default)]
+struct LineLimit {
+    period_started_at: Cell<Option<Instant>>,
+    lines: Cell<u32>,
+}
+
+impl LineLimit {
+    /// Whether another line may be logged, which counts it.
+    fn may_log(&self, rate: LineRate) -> bool {
+        let now = Instant::now();
+        if self.period_started_at.get().is_none_or(|started_at| now - started_at >= rate.period) {
+            self.period_started_at.set(Some(now));
+            self.lines.set(0);
+        }
+        let lines = self.lines.get();
+        self.lines.set(lines.saturating_add(1));
+        lines < rate.lines
+    }
+}
+
 /// Logs and counts what is ended early.
 #[derive(Default)]
 pub struct CutOffLog {
     counters: CutOffCounters,
-    period_started_at: Cell<Option<Instant>>,
-    lines_in_period: Cell<u32>,
+    stream_lines: LineLimit,
+    connection_lines: LineLimit,
 }
 
 impl CutOffLog {
@@ -111,25 +140,20 @@
         CutOffLog { counters, ..CutOffLog::default() }
     }
 
-    /// Records that a stream was ended early. `id` is the id of its request, `bytes` what
-    /// was received of it.
+    /// Records that a stream was ended early. `id` is the id of its request, `bytes` what was received of it.
     /// Clients that disconnect are counted, but not logged.
     pub fn record(&self, stream: CutOffStream, reason: CutOffReason, id: &RequestId, bytes: u64) {
         self.counters.count(stream.label(), reason.label());
-        if reason != CutOffReason::ClientDisconnected && self.may_log() {
+        if reason != CutOffReason::ClientDisconnected && self.may_log(stream) {
             let stream = stream.label();
             log_line(format_args!("ended early: {stream} {id} after {bytes} bytes: {reason}"));
         }
     }
 
-    fn may_log(&self) -> bool {
-        let now = Instant::now();
-        if self.period_started_at.get().is_none_or(|started_at| now - started_at >= LOG_PERIOD) {
-            self.period_started_at.set(Some(now));
-            self.lines_in_period.set(0);
+    fn may_log(&self, stream: CutOffStream) -> bool {
+        match stream {
+            CutOffStream::Connection => self.connection_lines.may_log(CONNECTION_LINES),
+            CutOffStream::Request | CutOffStream::Response => self.stream_lines.may_log(STREAM_LINES),
         }
-        let lines = self.lines_in_period.get();
-        self.lines_in_period.set(lines.saturating_add(1));
-        lines < MAX_LINES_PER_PERIOD
     }
 }
