--- a/crates/shutdown/src/state.rs
+++ b/crates/shutdown/src/state.rs
@@ -95,7 +95,7 @@
 
     /// Returns whether a streamed response must be cut off now. Always false without a kill deadline.
     ///
-    /// A request that came within [`KILL_DELAY`] is not lost if it is open at the kill, but is lost if this
+    /// A request that came within 0.7 s of the beginning is not lost if it is open at the kill, but is lost if this
     /// process ends its response while the endpoint still sends it; one that came later is lost if it is open.
     #[must_use]
     pub fn must_cut_off(&self, now: Micros, response: &StreamedResponse) -> bool {
