membership: the lease on a pushed list is a type of its own

One struct held the lease of a discovery that is polled and of one that pushes lists to an agent, and each method asked which it was. The two have no state in common but the terms. They are two types behind one enum now, so that what is known of an agent can be stated by itself.

--- a/crates/membership/src/lease/outage.rs
+++ b/crates/membership/src/lease/service/outage.rs
@@ -5,7 +5,7 @@
 //! down. A process that never received a response presumes no outage, because its list is unconfirmed in
 //! either case.
 
-use super::{CallFailure, Lease, ListConfirmation, NOTIFIED_AFTER_CALL};
+use super::{CallFailure, ListConfirmation, ServiceLease, NOTIFIED_AFTER_CALL};
 use crate::call::DiscoveryCall;
 use crate::time::{Micros, MILLISECOND};
 
@@ -66,7 +66,7 @@
     }
 }
 
-impl Lease {
+impl ServiceLease {
     /// Classifies a failed call by how and when it ended and by the state of the lease before it.
     pub(super) fn classify(&self, now: Micros, call: &DiscoveryCall, failure: CallFailure) -> FailureClass {
         if failure == CallFailure::ConnectionRefused {
--- a/crates/membership/src/lease/terms.rs
+++ b/crates/membership/src/lease/terms.rs
@@ -17,6 +17,19 @@
     pub presumed_outage: Micros,
 }
 
+impl LeaseTerms {
+    /// Returns the suspension that follows if changes that were not received count as notified from
+    /// `notified_from` on, and the last reason for it counts from `notified_until` on.
+    pub(super) fn expiry(&self, notified_from: Micros, notified_until: Micros, cause: ExpiryCause) -> Expiry {
+        let suspended_from = |notified: Micros| notified + self.drain_grace - self.margin;
+        Expiry {
+            from: suspended_from(notified_from),
+            until: suspended_from(notified_until) + self.max_suspension,
+            cause,
+        }
+    }
+}
+
 /// How a call failed. This determines whether discovery may have been reachable in the meantime.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CallFailure {
