An agent's silence does not confirm the list of the start; log and metric say why

A process starts while discovery is down, with an older list than its agent has; 86 of 320 requests of the outage went to a draining endpoint past its grace, up to 6.4 s late. The drain of the agent counts from the first moment of a process.

Cause: Lease::silence_confirms_at took 250 ms without a response for the proof that nothing had changed. An agent is silent while discovery is down, and the first call asked it to wait for 2 to 10 s, so that its silence proved nothing.

Change: only a response confirms a list. The first call to an agent has the 1 ms wait that it must answer at once; without a response it stays open beside short ones every 250 ms, so that the end of an outage is noticed at once. A list that was confirmed stays in use. New: the log says when a list is unconfirmed and by what (no response, refusal, error, no connection, ...), and the gauge edge_lb_list_status{list,last_call} has the present state.

The check of watch.rs that the silence of an agent sets no bound stated the old belief for lists of any age. It is replaced by two: a list that the agent confirmed is never suspended in 120 s of silence, and the agent is polled every 300 ms at most; a list of the start is suspended from the grace on, until a response.

--- a/crates/membership/src/call.rs
+++ b/crates/membership/src/call.rs
@@ -5,9 +5,10 @@
 
 use crate::lease::{NOTIFIED_AFTER_CALL, NOTIFIED_AFTER_WAIT};
 use crate::time::{Micros, MILLISECOND, SECOND};
+use crate::watch::CallResult;
 
-/// The grace period for a response to start. It begins at the end of the requested wait or at
-/// [`QUEUE_LIMIT`], whichever is later; at its end the call is overdue.
+/// The grace period for a response to start. It begins at the end of the requested wait, or at [`QUEUE_LIMIT`]
+/// if that is later and the call may be queued; at its end the call is overdue.
 pub(crate) const RESPONSE_GRACE: Micros = 250 * MILLISECOND;
 /// The longest time that discovery queues a call before it rejects it (rule of the platform). Discovery
 /// serves calls in turn.
@@ -27,6 +28,10 @@
     pub started_at: Micros,
     /// How long discovery may hold the call until there is a change; 0 requests the full list.
     pub wait: Micros,
+    /// Whether discovery may queue the call. An agent does not.
+    pub may_be_queued: bool,
+    /// Whether the connection of the call is established.
+    pub is_connected: bool,
     pub response_started_at: Option<Micros>,
     /// Whether the call was found overdue. It stays open, because it may only be slow, and another call is
     /// made.
@@ -39,10 +44,33 @@
 impl DiscoveryCall {
     /// Returns when the call is overdue.
     pub fn overdue_at(&self) -> Micros {
-        let response_due = self.started_at + self.wait.max(QUEUE_LIMIT) + RESPONSE_GRACE;
+        let response_due = self.started_at + self.longest_hold() + RESPONSE_GRACE;
         self.response_started_at.map_or(response_due, |started| started + BODY_TIMEOUT)
     }
 
+    /// Returns for how long a response to the call may be withheld.
+    fn longest_hold(&self) -> Micros {
+        if self.may_be_queued {
+            self.wait.max(QUEUE_LIMIT)
+        } else if self.is_connected {
+            self.wait
+        } else {
+            // An agent beside the proxy takes connections at once.
+            0
+        }
+    }
+
+    /// Returns why the response is missing once the call is overdue.
+    pub fn overdue_result(&self) -> CallResult {
+        if self.response_started_at.is_some() {
+            CallResult::Incomplete
+        } else if self.is_connected {
+            CallResult::Silent
+        } else {
+            CallResult::ConnectTimedOut
+        }
+    }
+
     /// Returns when the changes that the response should contain count as notified, received or not.
     pub fn notified_at(&self) -> Micros {
         let delay = if self.wait > 0 { self.wait + NOTIFIED_AFTER_WAIT } else { NOTIFIED_AFTER_CALL };
--- a/crates/membership/src/lease/agent.rs
+++ b/crates/membership/src/lease/agent.rs
@@ -3,10 +3,8 @@
 //! What the agent has counts as notified. The bound of each state is listed in the [module above](super).
 
 use super::{CallFailure, Expiry, ExpiryCause, InitialList, LeaseTerms};
-use crate::time::{Micros, MILLISECOND};
-
-/// The time within which an agent beside the proxy responds if it has a change.
-const AGENT_RESPONSE_TIME: Micros = 250 * MILLISECOND;
+use crate::time::Micros;
+use crate::watch::ListStatus;
 
 /// How recently the list was confirmed to be current.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -17,7 +15,7 @@
     Unconfirmed { since: Micros },
     /// The list has not been confirmed, and the connection of a call was refused.
     UnconfirmedConnectionRefused,
-    /// A response, or the silence of the agent, confirmed the list.
+    /// A response confirmed the list.
     Confirmed,
 }
 
@@ -46,6 +44,15 @@
         self.confirmation == ListConfirmation::Confirmed
     }
 
+    /// Returns whether the list is known to be current.
+    pub fn status(&self) -> ListStatus {
+        match self.confirmation {
+            ListConfirmation::Absent => ListStatus::Absent,
+            ListConfirmation::Confirmed if !self.is_in_doubt() => ListStatus::Confirmed,
+            _ => ListStatus::Unconfirmed,
+        }
+    }
+
     /// Returns whether the list that the process started with is still unconfirmed.
     pub fn is_unconfirmed(&self) -> bool {
         matches!(self.confirmation, ListConfirmation::Unconfirmed { .. })
@@ -87,12 +94,6 @@
         self.response_missing_from = Some(earliest);
     }
 
-    /// Returns when the silence of an agent that was polled at `polled_at` confirms the list. `None` if the
-    /// list is not unconfirmed.
-    pub fn silence_confirms_at(&self, polled_at: Micros) -> Option<Micros> {
-        self.is_unconfirmed().then_some(polled_at + AGENT_RESPONSE_TIME)
-    }
-
     /// Records a failed call.
     pub fn fail(&mut self, now: Micros, failure: CallFailure) {
         if self.terms.is_none() {
--- a/crates/membership/src/lease/mod.rs
+++ b/crates/membership/src/lease/mod.rs
@@ -30,7 +30,7 @@
 
 use crate::call::DiscoveryCall;
 use crate::time::{Micros, SECOND};
-use crate::watch::DiscoveryMode;
+use crate::watch::{DiscoveryMode, ListStatus};
 use agent::AgentLease;
 use service::ServiceLease;
 
@@ -74,6 +74,14 @@
         }
     }
 
+    /// Returns whether the list is known to be current.
+    pub fn status(&self) -> ListStatus {
+        match self {
+            Lease::Service(lease) => lease.status(),
+            Lease::Agent(lease) => lease.status(),
+        }
+    }
+
     /// Returns whether discovery is presumed down.
     pub fn is_outage_presumed(&self) -> bool {
         match self {
@@ -123,14 +131,6 @@
         }
     }
 
-    /// Returns when the silence of an agent that was polled at `polled_at` confirms the list.
-    pub fn silence_confirms_at(&self, polled_at: Micros) -> Option<Micros> {
-        match self {
-            Lease::Service(_) => None,
-            Lease::Agent(lease) => lease.silence_confirms_at(polled_at),
-        }
-    }
-
     /// Records a failed call: changes that discovery had in the meantime count as notified after a delay,
     /// received or not.
     pub fn fail(&mut self, now: Micros, call: &DiscoveryCall, failure: CallFailure) {
--- a/crates/membership/src/lease/service/mod.rs
+++ b/crates/membership/src/lease/service/mod.rs
@@ -10,6 +10,7 @@
 };
 use crate::call::DiscoveryCall;
 use crate::time::Micros;
+use crate::watch::ListStatus;
 use outage::{FailureClass, Outage};
 
 /// How recently the list was confirmed to be current.
@@ -67,6 +68,15 @@
         matches!(self.confirmation, ListConfirmation::Confirmed { .. })
     }
 
+    /// Returns whether the list is known to be current.
+    pub fn status(&self) -> ListStatus {
+        match self.confirmation {
+            ListConfirmation::Absent => ListStatus::Absent,
+            ListConfirmation::Confirmed { .. } if !self.is_in_doubt() => ListStatus::Confirmed,
+            _ => ListStatus::Unconfirmed,
+        }
+    }
+
     /// Returns whether the list that the process started with is still unconfirmed.
     pub fn is_unconfirmed(&self) -> bool {
         matches!(self.confirmation, ListConfirmation::Unconfirmed { .. })
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -18,4 +18,6 @@
 pub use lease::{CallFailure, Expiry, ExpiryCause, InitialList, LeaseTerms};
 pub use maintenance::{Maintenance, MaintenanceRejection};
 pub use time::Micros;
-pub use watch::{DiscoveryMode, DiscoveryWatch, WatchAction, WatchEvent, WatchPolicy};
+pub use watch::{
+    CallResult, DiscoveryMode, DiscoveryWatch, ListStatus, WatchAction, WatchEvent, WatchPolicy, WatchStatus,
+};
--- a/crates/membership/src/watch/backoff.rs
+++ b/crates/membership/src/watch/backoff.rs
@@ -2,7 +2,7 @@
 
 use std::ops::Range;
 
-use super::{DiscoveryMode, DiscoveryWatch, FIRST_CALL_SPREAD};
+use super::{DiscoveryWatch, FIRST_CALL_SPREAD};
 use crate::call::{QUEUE_LIMIT, RESPONSE_GRACE};
 use crate::time::{Micros, MILLISECOND, SECOND};
 
@@ -11,8 +11,7 @@
 const WATCH_WAIT: Range<Micros> = 2 * SECOND..10 * SECOND;
 /// The wait of a call that checks whether a change was missed.
 const DOUBT_WAIT: Micros = 250 * MILLISECOND;
-/// The wait of the call that confirms the list of a process that has just started: the shortest wait that the
-/// protocol can express.
+/// The wait of a call that confirms a list: the shortest wait that the protocol can express.
 const CONFIRMING_WAIT: Micros = MILLISECOND;
 /// The upper bound of the backoff before the first retry. Each backoff is drawn from a quarter of its upper
 /// bound up to the upper bound.
@@ -31,7 +30,7 @@
     pub(super) fn draw_wait(&mut self) -> Micros {
         if !self.has_version {
             0
-        } else if self.policy.mode == DiscoveryMode::Polled && self.lease.is_unconfirmed() {
+        } else if self.lease.is_unconfirmed() || self.is_agent_silent() {
             CONFIRMING_WAIT
         } else if self.lease.is_in_doubt() {
             DOUBT_WAIT
@@ -40,6 +39,11 @@
         }
     }
 
+    /// Returns whether an agent has taken a call that is overdue.
+    fn is_agent_silent(&self) -> bool {
+        self.is_pushed() && self.calls.iter().any(|call| call.is_overdue)
+    }
+
     /// Plans a retry, unless a call is already planned, or is in flight and not overdue.
     pub(super) fn plan_retry(&mut self, now: Micros) {
         if self.next_call_at.is_some() || self.calls.iter().any(|call| !call.is_overdue) {
@@ -53,7 +57,7 @@
     /// Returns the upper bound of the backoff before a retry, by how the last call ended.
     fn longest_backoff(&self, now: Micros) -> Micros {
         // Frequent calls do not overload an agent beside the proxy.
-        if self.policy.mode == DiscoveryMode::Pushed {
+        if self.is_pushed() {
             return MAX_FIRST_BACKOFF;
         }
         let backoff = if self.retries == 0 { MAX_FIRST_BACKOFF } else { MAX_RETRY_BACKOFF };
--- a/crates/membership/src/watch/event.rs
+++ b/crates/membership/src/watch/event.rs
@@ -10,8 +10,8 @@
     /// Discovery is a service that responds to each call once there is a change or the wait of the call is
     /// over.
     Polled,
-    /// Lists are pushed to an agent beside the proxy. The agent responds only if there is a change; its
-    /// silence means that there is none.
+    /// Lists are pushed to an agent beside the proxy. The agent responds at once with what it has, and is silent
+    /// while discovery is down.
     Pushed,
 }
 
@@ -31,6 +31,11 @@
     StartWatch,
     /// Discovery moved to another address: calls in flight are closed, and the new address is polled.
     AddressChanged,
+    /// The connection of a call was established, or an idle one is used.
+    Connected {
+        /// The call.
+        call: CallId,
+    },
     /// The head of a response was received.
     ResponseStarted {
         /// The call.
--- a/crates/membership/src/watch/mod.rs
+++ b/crates/membership/src/watch/mod.rs
@@ -10,14 +10,19 @@
 //! - **The call may have notified a change that was not received**: the response broke off, cannot be parsed,
 //!   or is missing although the requested wait is over.
 //!
-//! In both cases the watch sets its timer and polls again when the timer is due. A failure instead ends the
-//! watch ([`WatchAction::WatchEnded`]) if no terms bound the list, or if an agent that pushes lists cannot be
-//! reached or does not respond. [`WatchEvent::StartWatch`] then starts it again.
+//! In both cases the watch sets its timer and polls again when the timer is due. If discovery is polled and no
+//! terms bound the list, a failure instead ends the watch ([`WatchAction::WatchEnded`]), and
+//! [`WatchEvent::StartWatch`] starts it again.
+//!
+//! An agent beside the proxy is silent while discovery is down. A call without a response stays open beside
+//! further short ones, so that the agent can respond to it once it has something.
 
 mod backoff;
 mod event;
+mod status;
 
 pub use event::{DiscoveryMode, WatchAction, WatchEvent, WatchPolicy};
+pub use status::{CallResult, ListStatus, WatchStatus};
 
 use fastrand::Rng;
 
@@ -35,6 +40,9 @@
 const FIRST_CALL_SPREAD: Micros = SECOND;
 /// The maximum number of calls in flight: an overdue one, and its retry.
 const MAX_CALLS: usize = 2;
+/// How long after it is overdue a call to an agent is kept open at most: the time after which a watch that fell
+/// silent counts as broken (rule of the platform).
+const MAX_OVERDUE_TIME: Micros = 6 * SECOND;
 
 /// The watch of discovery by one proxy.
 pub struct DiscoveryWatch {
@@ -53,6 +61,7 @@
     retries: usize,
     /// Whether discovery responded with an error to the last call that failed.
     was_rejected: bool,
+    last_result: CallResult,
 }
 
 impl DiscoveryWatch {
@@ -61,10 +70,12 @@
     pub fn new(policy: WatchPolicy, list: InitialList, now: Micros, seed: u64) -> DiscoveryWatch {
         let mut rng = Rng::with_seed(seed);
         let has_version = list != InitialList::Absent;
-        // A list of unknown age is confirmed at once. Without a list, the first call is spread over the
-        // fleet.
-        let first_call_at = if has_version { now } else { now + rng.i64(0..FIRST_CALL_SPREAD) };
-        let is_active = policy.lease.is_some();
+        let is_pushed = policy.mode == DiscoveryMode::Pushed;
+        // A list of unknown age is confirmed at once, and an agent serves a single proxy. Otherwise the first
+        // call without a list is spread over the fleet.
+        let polls_at_once = has_version || is_pushed;
+        let first_call_at = if polls_at_once { now } else { now + rng.i64(0..FIRST_CALL_SPREAD) };
+        let is_active = policy.lease.is_some() || is_pushed;
         DiscoveryWatch {
             policy,
             rng,
@@ -77,6 +88,7 @@
             last_response_at: None,
             retries: 0,
             was_rejected: false,
+            last_result: CallResult::Pending,
         }
     }
 
@@ -85,11 +97,11 @@
     pub fn wake_at(&self) -> Option<Micros> {
         let in_time = self.calls.iter().filter(|call| !call.is_overdue);
         let overdue_at = in_time.map(DiscoveryCall::overdue_at);
-        overdue_at.chain(self.next_call_at).chain(self.silence_confirms_at()).min()
+        overdue_at.chain(self.next_call_at).min()
     }
 
-    fn silence_confirms_at(&self) -> Option<Micros> {
-        self.calls.first().and_then(|call| self.lease.silence_confirms_at(call.started_at))
+    fn is_pushed(&self) -> bool {
+        self.policy.mode == DiscoveryMode::Pushed
     }
 
     /// Returns the period in which no new request may be forwarded to any endpoint, given the present state.
@@ -105,6 +117,12 @@
         self.lease.is_unconfirmed()
     }
 
+    /// Returns the status of the list and of the last call.
+    #[must_use]
+    pub fn status(&self) -> WatchStatus {
+        WatchStatus { list: self.lease.status(), last_call: self.last_result }
+    }
+
     /// Returns whether the watch has started, and has not ended since.
     #[must_use]
     pub fn is_active(&self) -> bool {
@@ -116,6 +134,7 @@
         match event {
             WatchEvent::StartWatch => self.on_start(now, actions),
             WatchEvent::AddressChanged => self.on_address_changed(now, actions),
+            WatchEvent::Connected { call } => self.on_connected(call),
             WatchEvent::ResponseStarted { call } => self.on_response_started(now, call),
             WatchEvent::ResponseCompleted { call, changed } => {
                 self.on_response_completed(now, call, changed, actions);
@@ -149,6 +168,12 @@
         self.poll(now, actions);
     }
 
+    fn on_connected(&mut self, id: CallId) {
+        if let Some(call) = self.calls.iter_mut().find(|call| call.id == id) {
+            call.is_connected = true;
+        }
+    }
+
     fn on_response_started(&mut self, now: Micros, id: CallId) {
         if let Some(call) = self.calls.iter_mut().find(|call| call.id == id) {
             call.response_started_at.get_or_insert(now);
@@ -169,6 +194,7 @@
         self.has_version = true;
         self.retries = 0;
         self.was_rejected = false;
+        self.last_result = CallResult::Answered;
         self.last_response_at = Some(now);
         let min_interval = if changed { 0 } else { call.wait.min(MIN_CALL_INTERVAL) };
         let next_call_at = call.started_at + min_interval;
@@ -182,6 +208,7 @@
     fn on_response_truncated(&mut self, now: Micros, id: CallId) {
         let Some(mut call) = self.take_call(id) else { return };
         call.response_started_at.get_or_insert(now);
+        self.last_result = CallResult::Incomplete;
         self.lease.record_missing_response(call.notified_at());
         self.plan_retry(now);
     }
@@ -195,18 +222,17 @@
     ) {
         let Some(call) = self.take_call(id) else { return };
         self.lease.fail(now, &call, failure);
+        self.last_result = failure.into();
         self.was_rejected = failure == CallFailure::ErrorResponse;
         self.retry_or_end(now, actions);
     }
 
     fn on_timer_due(&mut self, now: Micros, actions: &mut Vec<WatchAction>) {
-        if self.silence_confirms_at().is_some_and(|at| at <= now) {
-            self.lease.confirm(now);
-        }
         let mut index = 0;
         while let Some(call) = self.calls.get(index) {
             let is_due = !call.is_overdue && call.overdue_at() <= now;
-            let may_be_slow = self.policy.mode == DiscoveryMode::Polled && call.response_started_at.is_none();
+            let was_taken = call.may_be_queued || call.is_connected;
+            let may_be_slow = was_taken && call.response_started_at.is_none();
             if is_due && !may_be_slow {
                 // The next call now has this index.
                 self.close_overdue(index, now, actions);
@@ -224,6 +250,12 @@
     fn mark_overdue(&mut self, index: usize, now: Micros) {
         let call = &mut self.calls[index];
         call.is_overdue = true;
+        self.last_result = call.overdue_result();
+        if self.is_pushed() {
+            self.next_call_at = Some(now);
+            return;
+        }
+        let call = &self.calls[index];
         let notified_at = call.notified_at();
         let is_first = !self.lease.is_in_doubt();
         self.lease.record_missing_response(notified_at);
@@ -236,19 +268,21 @@
 
     fn close_overdue(&mut self, index: usize, now: Micros, actions: &mut Vec<WatchAction>) {
         let call = self.calls.remove(index);
+        self.last_result = call.overdue_result();
         actions.push(WatchAction::CloseCall { call: call.id });
         if call.response_started_at.is_some() {
             self.lease.record_missing_response(call.notified_at());
             self.plan_retry(now);
         } else {
+            self.lease.fail(now, &call, CallFailure::Unreachable);
             self.retry_or_end(now, actions);
         }
     }
 
     /// Plans a retry after a failed call, or ends the watch.
     fn retry_or_end(&mut self, now: Micros, actions: &mut Vec<WatchAction>) {
-        let polls_by_itself = self.policy.lease.is_some() && self.policy.mode == DiscoveryMode::Polled;
-        if self.lease.is_in_doubt() || (polls_by_itself && !self.has_version) {
+        let awaits_first_list = self.policy.lease.is_some() && !self.has_version;
+        if self.lease.is_in_doubt() || self.is_pushed() || awaits_first_list {
             self.plan_retry(now);
         } else if self.calls.is_empty() {
             self.is_active = false;
@@ -275,8 +309,8 @@
 
     fn poll(&mut self, now: Micros, actions: &mut Vec<WatchAction>) {
         if self.calls.len() >= MAX_CALLS {
-            let oldest = self.calls.remove(0);
-            actions.push(WatchAction::CloseCall { call: oldest.id });
+            let superseded = self.calls.remove(self.superseded_call(now));
+            actions.push(WatchAction::CloseCall { call: superseded.id });
         }
         self.last_call += 1;
         let id = CallId(self.last_call);
@@ -286,6 +320,8 @@
             id,
             started_at: now,
             wait,
+            may_be_queued: !self.is_pushed(),
+            is_connected: false,
             response_started_at: None,
             is_overdue: false,
             continues_watch: wait > 0 && is_soon,
@@ -294,4 +330,16 @@
         self.next_call_at = None;
         actions.push(WatchAction::Poll { call: id, wait });
     }
+
+    /// Returns the index of the call that is closed for a further one. The response to the oldest call to an
+    /// agent may only be late: if each call were closed for the next, none of them would be received.
+    fn superseded_call(&self, now: Micros) -> usize {
+        let oldest = &self.calls[0];
+        let keeps_oldest = self.is_pushed() && now <= oldest.overdue_at() + MAX_OVERDUE_TIME;
+        if keeps_oldest {
+            self.calls.len() - 1
+        } else {
+            0
+        }
+    }
 }
--- a/crates/membership/tests/notification_simulation/mod.rs
+++ b/crates/membership/tests/notification_simulation/mod.rs
@@ -133,6 +133,16 @@
     fn call(&mut self, id: CallId, wait: Micros, outcome: CallOutcome) {
         self.poll_times.push(self.now);
         let now = self.now;
+        let connects = match outcome {
+            CallOutcome::Late(_) => false,
+            _ => {
+                !self.is_down(now)
+                    || !matches!(self.outage_kind, OutageKind::ConnectionRefused | OutageKind::Unreachable)
+            }
+        };
+        if connects {
+            self.schedule(now, WatchEvent::Connected { call: id });
+        }
         if self.is_down(now) {
             let (at, failure) = match self.outage_kind {
                 OutageKind::ConnectionRefused => (now + MILLISECOND, CallFailure::ConnectionRefused),
--- a/crates/membership/tests/watch.rs
+++ b/crates/membership/tests/watch.rs
@@ -7,11 +7,13 @@
 
 use fastrand::Rng;
 use membership::{
-    CallFailure, DiscoveryMode, DiscoveryWatch, Expiry, Micros, WatchAction, WatchEvent, WatchPolicy,
+    CallFailure, CallResult, DiscoveryMode, DiscoveryWatch, Expiry, InitialList, ListStatus, Micros,
+    WatchAction, WatchEvent, WatchPolicy,
 };
 use proptest::prelude::*;
 use watch_simulation::{
-    polled_policy, running, CallOutcome, World, DRAIN_GRACE, LEASE_TERMS, MILLISECOND, OUTCOMES, SECOND,
+    polled_policy, pushed_policy, running, CallOutcome, World, DRAIN_GRACE, LEASE_TERMS, MILLISECOND,
+    OUTCOMES, SECOND,
 };
 
 /// Guards against requests to a draining endpoint when the call at the time of the drain and its retries end
@@ -97,7 +99,7 @@
 }
 
 /// Guards against a suspension of forwarding when no change can have been notified: connections are refused,
-/// no lease terms are set, or a pushed agent is silent.
+/// no lease terms are set, or an agent that confirmed the list is silent.
 #[test]
 fn outage_without_a_possible_notification_does_not_suspend_forwarding() {
     // No proxy can reach discovery, so nothing counts as notified, however long the outage lasts.
@@ -133,11 +135,29 @@
         assert!(world.watch.expiry().is_none(), "{outcome:?}: the list stays in use");
         assert!(world.watch_ends.len() > 10, "{outcome:?}: the watch ends, and the balancer starts it again");
     }
-    // Pushed lists: the silence of an agent means that nothing has changed.
-    let pushed = WatchPolicy { mode: DiscoveryMode::Pushed, lease: Some(LEASE_TERMS) };
-    let mut world = World::new(pushed, 7, 300 * SECOND);
+    // Pushed lists: an agent is silent while discovery is down. A list that it has confirmed stays in use, and it
+    // is polled steadily, so that the end of the outage is noticed.
+    let mut world = World::new(pushed_policy(), 7, 300 * SECOND);
     world.run(120 * SECOND, &mut Rng::with_seed(7), &mut |_, _| CallOutcome::Silent);
-    assert!(world.watch.expiry().is_none() && world.watch_ends.len() > 10);
+    assert_eq!(world.suspended_from, None, "a confirmed list stays in use");
+    let gaps = world.polls.windows(2).map(|pair| pair[1].0 - pair[0].0);
+    assert!(world.polls.len() > 200 && gaps.max() <= Some(10 * SECOND + 250 * MILLISECOND));
+    let late_gaps = world.polls.windows(2).skip(1).map(|pair| pair[1].0 - pair[0].0);
+    assert!(late_gaps.max() <= Some(300 * MILLISECOND), "polled steadily");
+}
+
+/// Guards against the silence of an agent being taken for the confirmation of a list of unknown age: the agent may
+/// have a newer one, and be silent because discovery is down.
+#[test]
+fn silent_agent_does_not_confirm_the_list_that_a_process_starts_with() {
+    for seed in 0..50 {
+        let mut world = World::new(pushed_policy(), seed, 300 * SECOND);
+        world.watch = DiscoveryWatch::new(pushed_policy(), InitialList::Unconfirmed, 0, seed);
+        world.run(30 * SECOND, &mut Rng::with_seed(seed), &mut |_, _| CallOutcome::Silent);
+        assert_eq!(world.suspended_from, Some(DRAIN_GRACE - LEASE_TERMS.margin), "seed {seed}");
+        let status = world.watch.status();
+        assert_eq!((status.list, status.last_call), (ListStatus::Unconfirmed, CallResult::Silent));
+    }
 }
 
 /// Guards against an endless suspension, and against frequent retries, when every response is truncated.
--- a/crates/membership/tests/watch_simulation/mod.rs
+++ b/crates/membership/tests/watch_simulation/mod.rs
@@ -69,6 +69,8 @@
     pub polls: Vec<(Micros, Micros)>,
     pub watch_ends: Vec<Micros>,
     pub max_calls: usize,
+    /// The earliest time at which forwarding was suspended.
+    pub suspended_from: Option<Micros>,
 }
 
 impl World {
@@ -86,6 +88,7 @@
             polls: Vec::new(),
             watch_ends: Vec::new(),
             max_calls: 0,
+            suspended_from: None,
         }
     }
 
@@ -109,6 +112,9 @@
         let responds_at = held_until + 30 * MILLISECOND;
         let notified_by = held_until + 2 * SECOND;
         self.version_by_call.insert(id, version);
+        if outcome != CallOutcome::ConnectionRefused {
+            self.schedule(self.now, WatchEvent::Connected { call: id });
+        }
         match outcome {
             CallOutcome::Completed => {
                 self.schedule(responds_at, WatchEvent::ResponseStarted { call: id });
@@ -163,6 +169,7 @@
             let Some(at) = event.into_iter().chain(wake).min() else { break };
             // Requests are assumed to arrive at all times.
             self.check_no_late_forward(self.now, at.min(end));
+            self.record_suspension(at.min(end));
             self.now = at;
             let event = match event {
                 Some(event) if event <= at => self.pending_events.pop_first().expect("there is one").1,
@@ -210,6 +217,15 @@
         }
     }
 
+    /// Records whether forwarding is suspended before `to`.
+    fn record_suspension(&mut self, to: Micros) {
+        let Some(expiry) = self.watch.expiry().filter(|expiry| expiry.from < to && self.now < expiry.until)
+        else {
+            return;
+        };
+        self.suspended_from.get_or_insert(expiry.from.max(self.now));
+    }
+
     /// Checks a period without events for requests that are forwarded to the draining endpoint too late.
     fn check_no_late_forward(&self, from: Micros, to: Micros) {
         let Some(notified_at) = self.notified_at.filter(|_| self.received_version == 0) else { return };
@@ -245,3 +261,7 @@
 pub fn polled_policy() -> WatchPolicy {
     WatchPolicy { mode: DiscoveryMode::Polled, lease: Some(LEASE_TERMS) }
 }
+
+pub fn pushed_policy() -> WatchPolicy {
+    WatchPolicy { mode: DiscoveryMode::Pushed, lease: Some(LEASE_TERMS) }
+}
--- a/crates/proxy/src/membership/discovery/call.rs
+++ b/crates/proxy/src/membership/discovery/call.rs
@@ -24,8 +24,11 @@
 /// watch makes another call before it has passed.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(4);
 
-/// A report of a call. Every report except [`CallProgress::ResponseStarted`] ends the call.
+/// A report of a call. Every report except [`CallProgress::Connected`] and [`CallProgress::ResponseStarted`]
+/// ends the call.
 pub(super) enum CallProgress {
+    /// The connection of the call is established.
+    Connected,
     /// The head of a response was received.
     ResponseStarted,
     /// A list was received.
@@ -85,25 +88,26 @@
     }
 }
 
-/// Makes a call to discovery. Calls `on_response_started` when the head of the response has been received.
+/// Makes a call to discovery. Reports when it is connected, and when the head of the response has been received.
 pub(super) async fn call(
     address: SocketAddr,
     path: &str,
     idle: Option<Connection>,
-    on_response_started: impl Fn(),
+    report: impl Fn(CallProgress),
 ) -> CallProgress {
     let mut request = Request::new(Empty::new());
     let Ok(uri) = path.parse() else { return CallProgress::Failed(CallFailure::Unreachable) };
     *request.uri_mut() = uri;
     request.headers_mut().insert(HOST, HeaderValue::from_static("discovery"));
-    let (response, connection) = match send(address, request, idle).await {
+    let (response, connection) = match send(address, request, idle, || report(CallProgress::Connected)).await
+    {
         Ok(sent) => sent,
         Err(failure) => return CallProgress::Failed(failure),
     };
     if response.status() != StatusCode::OK {
         return CallProgress::Failed(CallFailure::ErrorResponse);
     }
-    on_response_started();
+    report(CallProgress::ResponseStarted);
     read_list(response, connection).await
 }
 
@@ -112,9 +116,11 @@
     address: SocketAddr,
     request: Request<Empty<Bytes>>,
     idle: Option<Connection>,
+    on_connected: impl Fn(),
 ) -> Result<(Response<Incoming>, Connection), CallFailure> {
     let mut request = request;
     if let Some(mut connection) = idle {
+        on_connected();
         match connection.send(request).await {
             SendOutcome::Response(response) => return Ok((response, connection)),
             SendOutcome::NotSent(unsent) => request = unsent,
@@ -122,6 +128,7 @@
         }
     }
     let mut connection = Connection::open(address).await?;
+    on_connected();
     match connection.send(request).await {
         SendOutcome::Response(response) => Ok((response, connection)),
         SendOutcome::NotSent(_) | SendOutcome::Lost => Err(CallFailure::ConnectionLost),
--- a/crates/proxy/src/membership/discovery/calls.rs
+++ b/crates/proxy/src/membership/discovery/calls.rs
@@ -36,8 +36,7 @@
                 // Sending fails if the pool and with it the receiver was dropped, which is harmless.
                 let _ = sender.send((id, progress));
             };
-            let on_response_started = || report(CallProgress::ResponseStarted);
-            let ended = catch_panic(call(address, &path, idle, on_response_started)).await;
+            let ended = catch_panic(call(address, &path, idle, &report)).await;
             report(ended.unwrap_or(CallProgress::ResponseTruncated));
         });
         self.handles.insert(id, task);
--- a/crates/proxy/src/membership/discovery/mod.rs
+++ b/crates/proxy/src/membership/discovery/mod.rs
@@ -3,6 +3,7 @@
 
 mod call;
 mod calls;
+mod status_log;
 
 use std::future::pending;
 use std::net::SocketAddr;
@@ -13,17 +14,15 @@
 use decide::{Micros, UpdateScope};
 use membership::{CallId, DiscoveryWatch, InitialList, WatchAction, WatchEvent, WatchPolicy};
 use tokio::sync::{watch, Notify};
-use tokio::time::{sleep, sleep_until, Instant};
+use tokio::time::{sleep_until, Instant};
 
 use crate::log::log_line;
 use crate::membership::EndpointRegistry;
 use crate::upstream::ListExpiry;
 use call::CallProgress;
 use calls::Calls;
+pub use status_log::StatusReport;
 
-/// The pause before a watch that ended is started again, if lists are pushed and the balancer requests no
-/// polls.
-const PUSHED_RESTART_DELAY: Duration = Duration::from_millis(250);
 /// The time after which a process reports ready even if discovery has not confirmed its list, so that clients
 /// are rejected instead of finding no proxy. Well within the ten seconds that a restart may take.
 const READY_UNCONFIRMED_AFTER: Duration = Duration::from_secs(5);
@@ -40,6 +39,8 @@
     pub policy: WatchPolicy,
     /// The seed of the random numbers of the watch.
     pub seed: u64,
+    /// Reports whether the list is confirmed.
+    pub status: StatusReport,
     /// Whether a malformed list has been logged.
     pub malformed_list_logged: bool,
 }
@@ -64,8 +65,7 @@
 
 impl Discovery {
     /// Applies the list that the process starts with, if any, and then watches discovery. When a watch ends,
-    /// the balancer is notified and requests the next one. If lists are pushed, the next one starts after
-    /// `PUSHED_RESTART_DELAY` instead.
+    /// the balancer is notified and requests the next one. The watch of a pushed list does not end.
     pub async fn run(mut self, initial: Option<ParsedEndpointList>) {
         let initial_list = self.apply_initial(initial);
         let clock = self.registry.clock;
@@ -78,6 +78,7 @@
         };
         loop {
             self.apply_watch_state(&session);
+            self.status.update(session.watch.status());
             let input = self.next_input(&mut session).await;
             let Some(event) = self.event_of(input, &mut session.calls) else { continue };
             let mut actions = Vec::new();
@@ -125,7 +126,7 @@
         match &self.poll_requested {
             _ if watch.is_active() => pending().await,
             Some(requested) => requested.notified().await,
-            None => sleep(PUSHED_RESTART_DELAY).await,
+            None => pending().await,
         }
     }
 
@@ -178,10 +179,11 @@
         if !calls.contains(id) {
             return None;
         }
-        if !matches!(progress, CallProgress::ResponseStarted) {
+        if !matches!(progress, CallProgress::Connected | CallProgress::ResponseStarted) {
             calls.remove(id);
         }
         Some(match progress {
+            CallProgress::Connected => WatchEvent::Connected { call: id },
             CallProgress::ResponseStarted => WatchEvent::ResponseStarted { call: id },
             CallProgress::ResponseCompleted { list, connection } => {
                 calls.set_idle(connection);
--- a/crates/proxy/src/membership/mod.rs
+++ b/crates/proxy/src/membership/mod.rs
@@ -5,7 +5,7 @@
 mod file;
 mod registry;
 
-pub use discovery::Discovery;
+pub use discovery::{Discovery, StatusReport};
 pub use file::FileWatch;
 pub use registry::{EndpointRegistry, MaintenanceApplier, RegisteredEndpoints, RegistryObserver};
 
--- a/crates/proxy/src/metrics/mod.rs
+++ b/crates/proxy/src/metrics/mod.rs
@@ -5,6 +5,7 @@
 
 mod attempt_write;
 mod cut_off;
+mod list_status;
 mod pool_metric;
 mod request;
 #[cfg(test)]
@@ -23,6 +24,7 @@
 
 pub use attempt_write::NextWriteCounter;
 pub use cut_off::CutOffCounters;
+pub use list_status::ListStatusGauge;
 use pool_metric::PoolMetric;
 pub use request::{RequestCounters, RequestOutcome, RequestRecorder};
 pub use unsent::UnsentCounters;
@@ -60,6 +62,7 @@
     cut_off: Family<Labels, Counter>,
     attempts: PoolMetric<Counter>,
     unsent_attempts: Family<Labels, Counter>,
+    list_status: Family<Labels, Gauge>,
     pool_size: PoolMetric<Gauge>,
     pool_ejected: PoolMetric<Gauge>,
     request_counters: RefCell<BTreeMap<RequestCounterKey, Rc<RequestCounters>>>,
@@ -79,6 +82,10 @@
         let attempts = PoolMetric::register(&mut registry, labeled_by_pool, "tries", attempts_help);
         let unsent_help = "Attempts that were decided on and not sent, by reason";
         let unsent_attempts = register_counter_family(&mut registry, "unsent_tries", unsent_help);
+        let list_status = Family::default();
+        let status_help =
+            "State of the endpoint list: confirmed or not, and how the last call to discovery went";
+        registry.register("list_status", status_help, list_status.clone());
         let active = Gauge::default();
         registry.register("active", "Requests taken and not ended", active.clone());
         let memory_refusals = Counter::default();
@@ -100,6 +107,7 @@
             cut_off,
             attempts,
             unsent_attempts,
+            list_status,
             pool_size,
             pool_ejected,
             request_counters: RefCell::default(),
@@ -154,11 +162,23 @@
     /// The counters of attempts that were not sent to endpoints of a pool. To be called after
     /// [`Self::attempts`], which bounds the number of pools.
     pub fn unsent_attempts(&self, pool: &Labels) -> UnsentCounters {
+        UnsentCounters::new(&self.unsent_attempts, self.bounded_labels(pool))
+    }
+
+    /// The labels of a pool, or those that are shared by all pools beyond the bound.
+    fn bounded_labels(&self, pool: &Labels) -> Labels {
         let is_known = self.pools_with_attempts.borrow().contains(pool);
-        UnsentCounters::new(
-            &self.unsent_attempts,
-            if is_known { pool.clone() } else { overflow_labels(pool) },
-        )
+        if is_known {
+            pool.clone()
+        } else {
+            overflow_labels(pool)
+        }
+    }
+
+    /// The gauge of the state of a pool's endpoint list. To be called after [`Self::attempts`], which bounds the
+    /// number of pools.
+    pub fn list_status(&self, pool: &Labels) -> ListStatusGauge {
+        ListStatusGauge::new(&self.list_status, self.bounded_labels(pool))
     }
 
     /// Encodes all metrics in the OpenMetrics text format, with the gauges of the given pools.
--- a/crates/proxy/src/platform/mod.rs
+++ b/crates/proxy/src/platform/mod.rs
@@ -24,7 +24,7 @@
 use crate::driver::Driver;
 use crate::gossip::GossipSocket;
 use crate::log::log_line;
-use crate::membership::{Discovery, EndpointRegistry};
+use crate::membership::{Discovery, EndpointRegistry, StatusReport};
 use crate::memory::MemoryBudget;
 use crate::metrics::{Labels, Metrics};
 use crate::platform_router::PlatformRouter;
@@ -117,6 +117,7 @@
     registry: EndpointRegistry,
     /// Notified when the balancer requests a poll of discovery.
     poll_requested: Rc<Notify>,
+    status: StatusReport,
 }
 
 impl PlatformPool {
@@ -126,6 +127,7 @@
         let upstreams = UpstreamPool::new(transport.clone(), config.max_upstream_connections);
         let upstreams = upstreams.with_attempt_counter(metrics.attempts(&Labels::new()));
         let upstreams = Rc::new(upstreams.with_unsent_counters(metrics.unsent_attempts(&Labels::new())));
+        let status = StatusReport::new(metrics.list_status(&Labels::new()));
         let poll_requested = Rc::new(Notify::new());
         let driver = Driver::new(
             settings.clone(),
@@ -142,7 +144,7 @@
             Rc::clone(&upstreams),
             Rc::default(),
         );
-        PlatformPool { driver, upstreams, registry, poll_requested }
+        PlatformPool { driver, upstreams, registry, poll_requested, status }
     }
 
     fn router(&self, platform: &PlatformSettings, metrics: &Metrics) -> PlatformRouter {
@@ -164,13 +166,14 @@
         discovery_address: watch::Receiver<SocketAddr>,
         initial_list: Option<ParsedEndpointList>,
     ) {
-        let PlatformPool { driver, upstreams, registry, poll_requested } = self;
+        let PlatformPool { driver, upstreams, registry, poll_requested, status } = self;
         let discovery = Discovery {
             address: discovery_address,
             registry,
             poll_requested: platform.settings.poll_discovery.then_some(poll_requested),
             policy: discovery_policy(platform),
             seed,
+            status,
             malformed_list_logged: false,
         };
         spawn_local(driver.run());
--- a/crates/proxy/src/pool/start.rs
+++ b/crates/proxy/src/pool/start.rs
@@ -15,7 +15,7 @@
 use super::tasks::TaskSet;
 use super::{endpoint_list, OperatorView, Pool, PoolContext};
 use crate::driver::Driver;
-use crate::membership::{Discovery, EndpointRegistry, FileWatch};
+use crate::membership::{Discovery, EndpointRegistry, FileWatch, StatusReport};
 use crate::operators::{observe_maintenance, OperatorContext};
 use crate::upstream::{RpcSettings, UpstreamPool};
 
@@ -54,7 +54,8 @@
         tasks.spawn(pool_driver.run());
         let evicted = Rc::clone(&upstreams);
         tasks.spawn(async move { evicted.evict_idle().await });
-        let static_registry = start_source(pool, registry, poll_requested, seed, &mut tasks);
+        let status = list_status_report(pool, operators);
+        let static_registry = start_source(pool, registry, poll_requested, seed, status, &mut tasks);
         Pool {
             _tasks: tasks,
             name: pool.name.clone(),
@@ -114,6 +115,12 @@
     }
 }
 
+fn list_status_report(pool: &config::Pool, operators: Option<&OperatorContext>) -> StatusReport {
+    operators.map_or_else(StatusReport::default, |operators| {
+        StatusReport::new(operators.metrics.list_status(&operators.labels(&pool.name)))
+    })
+}
+
 /// Starts the source of the endpoint list. Returns the registry if the endpoints are listed in the
 /// configuration, and `None` if the list has another source.
 fn start_source(
@@ -121,6 +128,7 @@
     mut registry: EndpointRegistry,
     poll_requested: Rc<Notify>,
     seed: u64,
+    status: StatusReport,
     tasks: &mut TaskSet,
 ) -> Option<RefCell<EndpointRegistry>> {
     let last_contact = Rc::clone(&registry.last_contact);
@@ -133,7 +141,7 @@
             tasks.spawn(FileWatch::new(pool.name.clone(), path.clone(), registry).run());
         }
         Source::Discovery(address) => {
-            tasks.spawn(run_discovery(*address, registry, poll_requested, seed));
+            tasks.spawn(run_discovery(*address, registry, poll_requested, seed, status));
         }
     }
     tasks.spawn(warn_when_stale(pool.name.clone(), last_contact));
@@ -146,6 +154,7 @@
     registry: EndpointRegistry,
     poll_requested: Rc<Notify>,
     seed: u64,
+    status: StatusReport,
 ) {
     // The address never changes, because a pool with another address is another pool.
     let (_address_sender, address) = watch::channel(address);
@@ -158,6 +167,7 @@
         poll_requested: Some(poll_requested),
         policy,
         seed,
+        status,
         malformed_list_logged: false,
     };
     discovery.run(None).await;
--- a/tests/stale_list.rs
+++ b/tests/stale_list.rs
@@ -23,19 +23,6 @@
     config.replace("8c1f30d27a5be964", &format!("{seed:016x}"))
 }
 
-/// Sends requests for this time. Returns the number that were served.
-fn send_for(proxy: &Process, time: Duration) -> usize {
-    let until = Instant::now() + time;
-    let (mut served, mut number) = (0, 0);
-    while Instant::now() < until {
-        number += 1;
-        let response = proxy.connect().ask(&read(&format!("request-{number}"), 9_000));
-        served += usize::from(response.status() == 200);
-        thread::sleep(Duration::from_millis(20));
-    }
-    served
-}
-
 #[test]
 fn a_restarted_process_keeps_a_drain_that_was_made_while_it_was_down() {
     let runs = (1..=3).map(|seed| {
@@ -48,7 +35,7 @@
             let stale_hosts = vec![host("s-0", draining, "SERVING"), host("s-1", other, "SERVING")];
             let proxy = start_config(&fleet_config(stale_hosts, discovery.address, seed));
             let started_at = Instant::now();
-            let served = send_for(&proxy, RUN_TIME);
+            let served = proxy.send_reads(RUN_TIME).served;
             let late_requests = received_at
                 .lock()
                 .expect("unpoisoned")
@@ -73,7 +60,7 @@
         let hosts = vec![host("s-0", address, "SERVING")];
         let proxy = start_config(&fleet_config(hosts.clone(), discovery.address, 7));
         let started_at = Instant::now();
-        send_for(&proxy, RUN_TIME);
+        proxy.send_reads(RUN_TIME);
         let late_requests = received_at
             .lock()
             .expect("unpoisoned")
--- a/tests/stubs/process.rs
+++ b/tests/stubs/process.rs
@@ -10,6 +10,16 @@
 
 use testkit::*;
 
+/// The pause between two requests of [`Process::send_reads`].
+const REQUEST_PAUSE: Duration = Duration::from_millis(20);
+
+/// The responses to [`Process::send_reads`].
+#[derive(Clone, Copy, Debug)]
+pub struct SentReads {
+    pub served: usize,
+    pub all: usize,
+}
+
 /// A running proxy.
 pub struct Process {
     pub address: SocketAddr,
@@ -97,6 +107,20 @@
         self.connect().ask(request)
     }
 
+    /// Sends requests for this time, each on a new connection. Returns the number of responses with status
+    /// 200, and of all.
+    pub fn send_reads(&self, time: Duration) -> SentReads {
+        let until = Instant::now() + time;
+        let mut sent = SentReads { served: 0, all: 0 };
+        while Instant::now() < until {
+            sent.all += 1;
+            let response = self.connect().ask(&read(&format!("request-{}-{until:?}", sent.all), 9_000));
+            sent.served += usize::from(response.status() == 200);
+            thread::sleep(REQUEST_PAUSE);
+        }
+        sent
+    }
+
     /// Waits until its health check succeeds.
     #[track_caller]
     pub fn wait_until_ready(&self) {
