A refusal, an error or a connect that is not taken up confirms no pushed list

Cause: AgentLease::fail took an agent that cannot be reached for one without changes. A refusal or a connect that timed out set no bound, and lifted the one that an error had set (calls_failed_from = None, UnconfirmedConnectionRefused). What the agent had before counts.

Change: the lease of a pushed list has four states. An unconfirmed list stays so until a response. A list that was current becomes unconfirmed by an error, a reset, a response that breaks off, or a connect that is not taken up while the agent holds no other call. An agent that is gone has nothing: while it refuses connections a list that was current stays in use, renewed by each refusal; the first call that is taken and not answered ends that. A reset followed by a refusal within 50 ms is the end of its process; the retries come after 0 and 10 ms.

--- a/crates/membership/src/lease/agent.rs
+++ b/crates/membership/src/lease/agent.rs
@@ -1,114 +1,173 @@
 //! The lease on a list that is pushed to an agent beside the proxy.
 //!
-//! What the agent has counts as notified. The bound of each state is listed in the [module above](super).
+//! What the agent has counts as notified, whether or not a call is open. Nothing but a response shows that the
+//! list in hand has all of it. An agent is silent while discovery is down and then receives nothing, so a list
+//! that was current before stays current. The bound of each state is listed in the [module above](super).
 
 use super::{CallFailure, Expiry, ExpiryCause, InitialList, LeaseTerms};
-use crate::time::Micros;
+use crate::call::DiscoveryCall;
+use crate::time::{Micros, MILLISECOND};
 use crate::watch::ListStatus;
 
-/// How recently the list was confirmed to be current.
+/// The time within which all sockets of a process that ends are closed.
+const PROCESS_END_TIME: Micros = 50 * MILLISECOND;
+
+/// What is known of the list in hand.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum ListConfirmation {
+enum AgentList {
     /// There is no list.
     Absent,
-    /// The list has not been confirmed since this time, the start of the process.
-    Unconfirmed { since: Micros },
-    /// The list has not been confirmed, and the connection of a call was refused.
-    UnconfirmedConnectionRefused,
-    /// A response confirmed the list.
-    Confirmed,
+    /// The agent confirmed the list, and has held a call since, or taken the next one at once.
+    Current,
+    /// The list was current when the agent was last found to be gone: its kernel refused a connection.
+    AgentGone {
+        /// When the last connection was refused.
+        refused_at: Micros,
+    },
+    /// The agent may have changes that were not received.
+    Unconfirmed(Doubt),
+}
+
+/// Why the agent may have changes that were not received.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Doubt {
+    /// When the earliest such change counts as notified.
+    notified_from: Micros,
+    cause: ExpiryCause,
+    /// When connections began to break, if the list was current then and no call has ended otherwise since.
+    lost_at: Option<Micros>,
+}
+
+impl Doubt {
+    fn new(notified_from: Micros, cause: ExpiryCause) -> Doubt {
+        Doubt { notified_from, cause, lost_at: None }
+    }
+
+    /// Returns whether a refusal shows that the process of the agent ended when connections began to break, so
+    /// that it received nothing after that.
+    fn is_end_of_process(&self, refused_at: Micros) -> bool {
+        self.lost_at.is_some_and(|lost_at| refused_at <= lost_at + PROCESS_END_TIME)
+    }
 }
 
 /// The state of the lease on a list that is pushed to an agent.
 pub(crate) struct AgentLease {
     terms: Option<LeaseTerms>,
-    confirmation: ListConfirmation,
-    /// When the changes of a missing response begin to count as notified. `None` if no response is missing.
-    response_missing_from: Option<Micros>,
-    /// When all changes at the agent begin to count as notified because calls fail. `None` if no call failed.
-    calls_failed_from: Option<Micros>,
+    list: AgentList,
 }
 
 impl AgentLease {
     /// Creates the lease on the list that the process starts with. Without terms the lease never expires.
     pub fn new(terms: Option<LeaseTerms>, list: InitialList, now: Micros) -> AgentLease {
-        let confirmation = match list {
-            InitialList::Absent => ListConfirmation::Absent,
-            InitialList::Unconfirmed => ListConfirmation::Unconfirmed { since: now },
+        let list = match list {
+            InitialList::Absent => AgentList::Absent,
+            InitialList::Unconfirmed => AgentList::Unconfirmed(Doubt::new(now, ExpiryCause::Unconfirmed)),
         };
-        AgentLease { terms, confirmation, response_missing_from: None, calls_failed_from: None }
-    }
-
-    /// Returns whether the list has been confirmed at least once.
-    pub fn is_confirmed(&self) -> bool {
-        self.confirmation == ListConfirmation::Confirmed
+        AgentLease { terms, list }
     }
 
     /// Returns whether the list is known to be current.
     pub fn status(&self) -> ListStatus {
-        match self.confirmation {
-            ListConfirmation::Absent => ListStatus::Absent,
-            ListConfirmation::Confirmed if !self.is_in_doubt() => ListStatus::Confirmed,
-            _ => ListStatus::Unconfirmed,
+        match self.list {
+            AgentList::Absent => ListStatus::Absent,
+            AgentList::Current | AgentList::AgentGone { .. } => ListStatus::Confirmed,
+            AgentList::Unconfirmed(_) => ListStatus::Unconfirmed,
         }
     }
 
-    /// Returns whether the list that the process started with is still unconfirmed.
-    pub fn is_unconfirmed(&self) -> bool {
-        matches!(self.confirmation, ListConfirmation::Unconfirmed { .. })
+    /// Returns whether the agent confirmed the list and may hold a call until there is a change.
+    pub fn is_current(&self) -> bool {
+        self.list == AgentList::Current
     }
 
-    /// Returns whether a response is missing, or calls failed.
-    pub fn is_in_doubt(&self) -> bool {
-        self.response_missing_from.is_some() || self.calls_failed_from.is_some()
+    /// Returns whether the agent may have changes that were not received.
+    pub fn is_unconfirmed(&self) -> bool {
+        matches!(self.list, AgentList::Unconfirmed(_))
     }
 
     /// Returns the period in which forwarding is suspended. `None` without terms or without a bound.
     pub fn expiry(&self) -> Option<Expiry> {
         let terms = self.terms?;
-        let unconfirmed_since = match self.confirmation {
-            ListConfirmation::Unconfirmed { since } => Some(since),
-            _ => None,
+        let (notified_from, cause) = match self.list {
+            AgentList::Absent | AgentList::Current => return None,
+            AgentList::AgentGone { refused_at } => (refused_at, ExpiryCause::CallsFailed),
+            AgentList::Unconfirmed(doubt) => (doubt.notified_from, doubt.cause),
         };
-        let bounds = [
-            (unconfirmed_since, ExpiryCause::Unconfirmed),
-            (self.response_missing_from, ExpiryCause::ResponseMissing),
-            (self.calls_failed_from, ExpiryCause::CallsFailed),
-        ];
-        let known_bounds = bounds.into_iter().filter_map(|(from, cause)| Some((from?, cause)));
-        let (notified_from, cause) = known_bounds.min_by_key(|(from, _)| *from)?;
-        let notified_until = self.response_missing_from.unwrap_or(notified_from).max(notified_from);
-        Some(terms.expiry(notified_from, notified_until, cause))
+        Some(terms.expiry(notified_from, notified_from, cause))
     }
 
     /// Records that a response was received completely.
     pub fn confirm(&mut self) {
-        self.confirmation = ListConfirmation::Confirmed;
-        self.response_missing_from = None;
-        self.calls_failed_from = None;
+        self.list = AgentList::Current;
     }
 
     /// Records a missing response, whose changes count as notified from `from` on.
     pub fn record_missing_response(&mut self, from: Micros) {
-        let earliest = self.response_missing_from.map_or(from, |earlier| earlier.min(from));
-        self.response_missing_from = Some(earliest);
+        self.doubt(Doubt::new(from, ExpiryCause::ResponseMissing));
     }
 
-    /// Records a failed call.
-    pub fn fail(&mut self, now: Micros, failure: CallFailure) {
-        if self.terms.is_none() {
-            return;
-        }
-        if failure == CallFailure::ConnectionRefused && self.is_unconfirmed() {
-            self.confirmation = ListConfirmation::UnconfirmedConnectionRefused;
+    /// Records that the agent took a call and has not responded in time.
+    pub fn record_silence(&mut self) {
+        match &mut self.list {
+            AgentList::Absent | AgentList::Current => {}
+            // The agent is back, and may have received changes at once.
+            AgentList::AgentGone { refused_at } => {
+                self.list = AgentList::Unconfirmed(Doubt::new(*refused_at, ExpiryCause::ResponseMissing));
+            }
+            AgentList::Unconfirmed(doubt) => doubt.lost_at = None,
         }
+    }
+
+    /// Records a failed call. `is_held` is whether the agent has taken another call that is still open.
+    pub fn fail(&mut self, now: Micros, call: &DiscoveryCall, failure: CallFailure, is_held: bool) {
         match failure {
-            // Changes at an agent count as notified at once.
-            CallFailure::ErrorResponse | CallFailure::ConnectionLost => {
-                self.calls_failed_from.get_or_insert(now);
+            CallFailure::ConnectionRefused => self.record_refusal(now),
+            CallFailure::ErrorResponse => self.doubt(Doubt::new(now, ExpiryCause::CallsFailed)),
+            CallFailure::ConnectionLost => {
+                let lost_at = self.lost_at(now);
+                self.doubt(Doubt::new(now, ExpiryCause::CallsFailed));
+                if let AgentList::Unconfirmed(doubt) = &mut self.list {
+                    doubt.lost_at = lost_at;
+                }
+            }
+            // The agent would respond to the call that it holds.
+            CallFailure::Unreachable if is_held && self.is_current() => {}
+            CallFailure::Unreachable => self.doubt(Doubt::new(call.started_at, ExpiryCause::CallsFailed)),
+        }
+    }
+
+    /// Returns when the connections of an agent that confirmed the list began to break, if one breaks now.
+    fn lost_at(&self, now: Micros) -> Option<Micros> {
+        match self.list {
+            AgentList::Current => Some(now),
+            AgentList::Unconfirmed(doubt) => doubt.lost_at,
+            AgentList::Absent | AgentList::AgentGone { .. } => None,
+        }
+    }
+
+    fn record_refusal(&mut self, now: Micros) {
+        match &mut self.list {
+            AgentList::Absent => {}
+            AgentList::Current | AgentList::AgentGone { .. } => {
+                self.list = AgentList::AgentGone { refused_at: now };
+            }
+            AgentList::Unconfirmed(doubt) if doubt.is_end_of_process(now) => {
+                self.list = AgentList::AgentGone { refused_at: now };
+            }
+            AgentList::Unconfirmed(doubt) => doubt.lost_at = None,
+        }
+    }
+
+    /// Records that the agent may have changes that were not received. What was in doubt before stays so.
+    fn doubt(&mut self, doubt: Doubt) {
+        match &mut self.list {
+            AgentList::Absent => {}
+            AgentList::Current => self.list = AgentList::Unconfirmed(doubt),
+            AgentList::AgentGone { refused_at } => {
+                let notified_from = doubt.notified_from.min(*refused_at);
+                self.list = AgentList::Unconfirmed(Doubt { notified_from, ..doubt });
             }
-            // An agent that cannot be reached has no changes to notify.
-            CallFailure::ConnectionRefused | CallFailure::Unreachable => self.calls_failed_from = None,
+            AgentList::Unconfirmed(earlier) => earlier.lost_at = None,
         }
     }
 }
--- a/crates/membership/src/lease/mod.rs
+++ b/crates/membership/src/lease/mod.rs
@@ -62,7 +62,15 @@
     pub fn is_confirmed(&self) -> bool {
         match self {
             Lease::Service(lease) => lease.is_confirmed(),
-            Lease::Agent(lease) => lease.is_confirmed(),
+            Lease::Agent(lease) => lease.status() == ListStatus::Confirmed,
+        }
+    }
+
+    /// Returns whether the next call has to confirm the list at once, instead of waiting for a change.
+    pub fn needs_confirmation(&self) -> bool {
+        match self {
+            Lease::Service(lease) => lease.is_unconfirmed(),
+            Lease::Agent(lease) => !lease.is_current(),
         }
     }
 
@@ -94,7 +102,7 @@
     pub fn is_in_doubt(&self) -> bool {
         match self {
             Lease::Service(lease) => lease.is_in_doubt(),
-            Lease::Agent(lease) => lease.is_in_doubt(),
+            Lease::Agent(lease) => lease.is_unconfirmed(),
         }
     }
 
@@ -131,12 +139,29 @@
         }
     }
 
-    /// Records a failed call: changes that discovery had in the meantime count as notified after a delay,
-    /// received or not.
-    pub fn fail(&mut self, now: Micros, call: &DiscoveryCall, failure: CallFailure) {
+    /// Records that discovery took a call and has not responded in time.
+    pub fn record_silence(&mut self, call: &DiscoveryCall) {
+        match self {
+            Lease::Service(lease) => lease.record_missing_response(call.notified_at()),
+            Lease::Agent(lease) => lease.record_silence(),
+        }
+    }
+
+    /// Records a failed call, with the other calls in flight: changes that discovery had in the meantime may
+    /// count as notified, received or not.
+    pub fn fail(
+        &mut self,
+        now: Micros,
+        call: &DiscoveryCall,
+        failure: CallFailure,
+        others: &[DiscoveryCall],
+    ) {
         match self {
             Lease::Service(lease) => lease.fail(now, call, failure),
-            Lease::Agent(lease) => lease.fail(now, failure),
+            Lease::Agent(lease) => {
+                let is_held = others.iter().any(|other| other.is_connected);
+                lease.fail(now, call, failure, is_held);
+            }
         }
     }
 }
--- a/crates/membership/src/watch/backoff.rs
+++ b/crates/membership/src/watch/backoff.rs
@@ -30,7 +30,7 @@
     pub(super) fn draw_wait(&mut self) -> Micros {
         if !self.has_version {
             0
-        } else if self.lease.is_unconfirmed() || self.is_agent_silent() {
+        } else if self.lease.needs_confirmation() || self.is_agent_silent() {
             CONFIRMING_WAIT
         } else if self.lease.is_in_doubt() {
             DOUBT_WAIT
--- a/crates/membership/src/watch/mod.rs
+++ b/crates/membership/src/watch/mod.rs
@@ -38,6 +38,9 @@
 /// The period over which the first calls of processes without a list are spread at random, so that a fleet
 /// that starts together does not poll together.
 const FIRST_CALL_SPREAD: Micros = SECOND;
+/// The pause before the second retry of a call whose connection broke: a process that ends does not close all
+/// its sockets at the same instant.
+const PROCESS_END_RETRY: Micros = 10 * MILLISECOND;
 /// The maximum number of calls in flight: an overdue one, and its retry.
 const MAX_CALLS: usize = 2;
 /// How long after it is overdue a call to an agent is kept open at most: the time after which a watch that fell
@@ -221,12 +224,27 @@
         actions: &mut Vec<WatchAction>,
     ) {
         let Some(call) = self.take_call(id) else { return };
-        self.lease.fail(now, &call, failure);
+        self.lease.fail(now, &call, failure, &self.calls);
         self.last_result = failure.into();
         self.was_rejected = failure == CallFailure::ErrorResponse;
+        if self.is_pushed() && failure == CallFailure::ConnectionLost {
+            return self.retry_lost_call(now, &call, actions);
+        }
         self.retry_or_end(now, actions);
     }
 
+    /// Polls an agent again at once: if its process has ended, it refuses the next connection.
+    fn retry_lost_call(&mut self, now: Micros, lost: &DiscoveryCall, actions: &mut Vec<WatchAction>) {
+        if now - lost.started_at >= MIN_CALL_INTERVAL {
+            self.poll(now, actions);
+        } else if self.retries == 0 {
+            self.retries += 1;
+            self.next_call_at = Some(now + PROCESS_END_RETRY);
+        } else {
+            self.plan_retry(now);
+        }
+    }
+
     fn on_timer_due(&mut self, now: Micros, actions: &mut Vec<WatchAction>) {
         let mut index = 0;
         while let Some(call) = self.calls.get(index) {
@@ -251,15 +269,9 @@
         let call = &mut self.calls[index];
         call.is_overdue = true;
         self.last_result = call.overdue_result();
-        if self.is_pushed() {
-            self.next_call_at = Some(now);
-            return;
-        }
-        let call = &self.calls[index];
-        let notified_at = call.notified_at();
         let is_first = !self.lease.is_in_doubt();
-        self.lease.record_missing_response(notified_at);
-        if is_first {
+        self.lease.record_silence(call);
+        if is_first || self.is_pushed() {
             self.next_call_at = Some(now);
         } else {
             self.plan_retry(now);
@@ -274,7 +286,7 @@
             self.lease.record_missing_response(call.notified_at());
             self.plan_retry(now);
         } else {
-            self.lease.fail(now, &call, CallFailure::Unreachable);
+            self.lease.fail(now, &call, CallFailure::Unreachable, &self.calls);
             self.retry_or_end(now, actions);
         }
     }
--- a/tests/pushed_lists.rs
+++ b/tests/pushed_lists.rs
@@ -10,7 +10,7 @@
 use std::time::{Duration, Instant};
 
 use stubs::*;
-use AgentBehavior::{Answering, Disconnecting, Gone, Late, NotAccepting, Rejecting, Silent, Truncating};
+use AgentBehavior::{Answering, Disconnecting, Gone, NotAccepting, Rejecting, Silent, Truncating};
 
 /// The drain grace in the settings: after it no request may be forwarded.
 const DRAIN_GRACE: Duration = Duration::from_millis(500);
@@ -69,7 +69,9 @@
     }
     assert_eq!(endpoints.received_after(limit), 0, "{phases:?}: forwarded by an unconfirmed list");
     agent.set_behavior(Answering);
-    wait_until(&format!("served after {phases:?}"), || proxy.request(&read("after", 9_000)).status() == 200);
+    wait_until(&format!("served after {phases:?}"), || {
+        proxy.request(&read(&unique_request_id(), 9_000)).status() == 200
+    });
     assert!(proxy.send_reads(PHASE).served > 0, "{phases:?}");
     assert_eq!(endpoints.received_after(limit), 0, "{phases:?}: forwarded to a draining endpoint");
 }
@@ -80,3 +82,217 @@
 fn silence_does_not_confirm_the_list_that_a_process_starts_with() {
     start_with_failing_agent(&[Silent, Silent]);
 }
+
+/// Guards against a connection that is refused or not taken up, an error or a reset lifting the bound on a list
+/// that the agent has not confirmed, or setting none.
+#[test]
+fn nothing_but_a_response_confirms_the_list_that_a_process_starts_with() {
+    let cases: [&'static [AgentBehavior]; 9] = [
+        &[Gone, Silent],
+        &[Silent, Gone],
+        &[Rejecting, Gone],
+        &[NotAccepting, NotAccepting],
+        &[Rejecting, NotAccepting],
+        &[Disconnecting, Gone],
+        &[Disconnecting, Silent],
+        &[Truncating, Gone],
+        &[Truncating, Silent, NotAccepting, Gone],
+    ];
+    in_parallel(cases, start_with_failing_agent);
+}
+
+/// A process whose list its agent has confirmed.
+struct Confirmed {
+    endpoints: Endpoints,
+    agent: MockAgent,
+    proxy: Process,
+}
+
+impl Confirmed {
+    fn start() -> Confirmed {
+        let endpoints = Endpoints::start();
+        let agent = MockAgent::start(&endpoints.list("SERVING"), Answering);
+        let proxy = start_config(&endpoints.config(&agent));
+        proxy.wait_until_ready();
+        assert!(proxy.send_reads(PHASE).served > 0);
+        Confirmed { endpoints, agent, proxy }
+    }
+
+    /// Gives the agent the drain of an endpoint. Returns until when that endpoint may be sent to.
+    fn drain(&self) -> Instant {
+        self.agent.change(&self.endpoints.list("DRAINING"));
+        Instant::now() + DRAIN_GRACE
+    }
+
+    /// Checks that nothing is forwarded past `limit` now, nor once the agent answers, and that requests are served
+    /// then.
+    fn check_drained(&self, limit: Instant, case: &str) {
+        self.proxy.send_reads(PHASE);
+        assert_eq!(self.endpoints.received_after(limit), 0, "{case}: forwarded past the grace");
+        self.agent.set_behavior(Answering);
+        wait_until(&format!("served after {case}"), || {
+            self.proxy.request(&read(&unique_request_id(), 9_000)).status() == 200
+        });
+        self.proxy.send_reads(PHASE);
+        assert_eq!(self.endpoints.received_after(limit), 0, "{case}: forwarded past the grace");
+    }
+}
+
+/// Guards against an outage that suspends forwarding although the list was confirmed before it: an agent that is
+/// silent receives nothing, and one that is gone has nothing.
+#[test]
+fn confirmed_list_is_served_by_in_an_outage() {
+    let cases: [&'static [AgentBehavior]; 4] =
+        [&[Silent, Silent], &[Gone, Gone], &[Silent, NotAccepting], &[Silent, Answering, Silent]];
+    in_parallel(cases, |phases| {
+        let Confirmed { agent, proxy, .. } = Confirmed::start();
+        for phase in phases {
+            agent.set_behavior(*phase);
+            let sent = proxy.send_reads(PHASE * 4);
+            assert_eq!(sent.served, sent.all, "{phases:?}: not served while the agent is {phase:?}");
+        }
+    });
+}
+
+/// Guards against a bound that a refused connection lifts, or that a connection that is not taken up does not set,
+/// after the agent had a change that was not received.
+#[test]
+fn drain_between_a_failed_call_and_the_end_of_the_agent_is_kept() {
+    in_parallel([Rejecting, Disconnecting], |behavior| {
+        for end in [Gone, NotAccepting] {
+            let process = Confirmed::start();
+            process.agent.set_behavior(behavior);
+            thread::sleep(Duration::from_millis(300));
+            let limit = process.drain();
+            process.agent.set_behavior(end);
+            process.check_drained(limit, &format!("{behavior:?}, then {end:?}"));
+        }
+    });
+}
+
+/// Guards against an agent that was gone, is back with a change and silent at once being taken for one that has
+/// nothing.
+#[test]
+fn drain_at_the_return_of_an_agent_that_is_silent_at_once_is_kept() {
+    let process = Confirmed::start();
+    process.agent.set_behavior(Gone);
+    let sent = process.proxy.send_reads(PHASE);
+    assert_eq!(sent.served, sent.all, "an agent that is gone has no changes");
+    let limit = process.drain();
+    process.agent.set_behavior(Silent);
+    process.check_drained(limit, "silent at its return");
+}
+
+/// Guards against a change that the agent gets at the end of an outage, and that is missed because the next
+/// outage follows at once.
+#[test]
+fn drain_between_two_outages_is_kept() {
+    in_parallel(1..=4, |number: u32| {
+        let process = Confirmed::start();
+        process.agent.set_behavior(Silent);
+        process.proxy.send_reads(PHASE + Duration::from_millis(70) * number);
+        let limit = process.drain();
+        process.agent.set_behavior(Answering);
+        thread::sleep(Duration::from_millis(40));
+        process.agent.set_behavior(Silent);
+        process.check_drained(limit, "between two outages");
+    });
+}
+
+/// A move to an agent that answers costs no request.
+#[test]
+fn new_configuration_with_an_agent_that_answers_costs_no_request() {
+    let Confirmed { endpoints, proxy, .. } = Confirmed::start();
+    let next = MockAgent::start(&endpoints.list("SERVING"), Answering);
+    proxy.reload(&endpoints.config(&next));
+    let sent = proxy.send_reads(Duration::from_secs(6));
+    assert_eq!(sent.served, sent.all);
+}
+
+/// A calm start costs no request: the agent confirms the list at once.
+#[test]
+fn start_with_an_agent_that_answers_costs_no_request() {
+    let endpoints = Endpoints::start();
+    let agent = MockAgent::start(&endpoints.list("SERVING"), Answering);
+    let proxy = start_config(&endpoints.config(&agent));
+    let sent = proxy.send_reads(PHASE * 2);
+    assert_eq!(sent.served, sent.all);
+    assert!(agent.calls()[0].0.ends_with("after=1&wait_ms=1"), "{:?}", agent.calls()[0]);
+}
+
+/// A process without a list serves nothing before the agent has given it one, and then by that.
+#[test]
+fn start_without_a_list_waits_for_the_agent() {
+    let endpoints = Endpoints::start();
+    let agent = MockAgent::start(&endpoints.list("DRAINING"), Silent);
+    let config = endpoints.config(&agent);
+    let from = config.find("\"known\":").expect("a list");
+    let to = from + config[from..].find("]},").expect("its end") + 3;
+    let proxy = start_config(&(config[..from].to_owned() + &config[to..]));
+    let started_at = Instant::now();
+    assert_eq!(proxy.send_reads(PHASE).served, 0);
+    agent.set_behavior(Answering);
+    wait_until("served", || proxy.request(&read(&unique_request_id(), 9_000)).status() == 200);
+    proxy.send_reads(PHASE);
+    assert_eq!(endpoints.received_after(started_at), 0);
+}
+
+/// Guards against a process that takes over the socket of another one, and sends by the list of its
+/// configuration what the first one knew to be drained.
+#[test]
+fn process_that_takes_over_keeps_a_drain_of_before_its_start() {
+    let endpoints = Endpoints::start();
+    let agent = MockAgent::start(&endpoints.list("SERVING"), Answering);
+    let listener = InheritedListener::new();
+    let first = listener.start(&endpoints.config(&agent));
+    first.wait_until_ready();
+    agent.change(&endpoints.list("DRAINING"));
+    thread::sleep(PHASE);
+    agent.set_behavior(Silent);
+    let second = listener.start(&endpoints.config(&agent));
+    let limit = Instant::now() + DRAIN_GRACE;
+    first.terminate();
+    let address = listener.address;
+    let until = Instant::now() + PHASE * 3;
+    while Instant::now() < until {
+        let client = std::net::TcpStream::connect(address).expect("the socket is open");
+        HttpClient::of(client).ask(&read(&unique_request_id(), 9_000));
+        thread::sleep(Duration::from_millis(20));
+    }
+    assert_eq!(endpoints.received_after(limit), 0);
+    agent.set_behavior(Answering);
+    wait_until("served", || second.request(&read(&unique_request_id(), 9_000)).status() == 200);
+    assert_eq!(endpoints.received_after(limit), 0);
+}
+
+fn metrics(proxy: &Process) -> String {
+    proxy.operator_request("GET", "/status/metrics", "").1
+}
+
+/// Guards against states that operators cannot tell apart.
+#[test]
+fn log_and_metric_say_why_a_list_is_unconfirmed() {
+    let cases = [
+        (Silent, "silent", "discovery took the call and does not respond"),
+        (Gone, "refused", "discovery refused the connection"),
+        (Rejecting, "rejected", "discovery responded with an error"),
+        (NotAccepting, "connect_timeout", "no connection to discovery was established"),
+        (Disconnecting, "connection_lost", "the connection to discovery broke"),
+        (Truncating, "incomplete", "the response of discovery broke off or cannot be parsed"),
+    ];
+    in_parallel(cases, |(behavior, label, text)| {
+        let endpoints = Endpoints::start();
+        let agent = MockAgent::start(&endpoints.list("SERVING"), Answering);
+        agent.set_behavior(behavior);
+        thread::sleep(Duration::from_millis(300));
+        let proxy = start_config(&with_operators_address(&endpoints.config(&agent)));
+        proxy.wait_for_log(&format!("endpoint list unconfirmed: {text}"));
+        let gauge = |list: &str, call: &str| {
+            format!("edge_lb_list_status{{list=\"{list}\",last_call=\"{call}\"}} 1\n")
+        };
+        wait_until(label, || metrics(&proxy).contains(&gauge("unconfirmed", label)));
+        agent.set_behavior(Answering);
+        proxy.wait_for_log("endpoint list confirmed by discovery");
+        wait_until("confirmed", || metrics(&proxy).contains(&gauge("confirmed", "answered")));
+    });
+}
--- a/tests/stubs/mod.rs
+++ b/tests/stubs/mod.rs
@@ -14,5 +14,5 @@
 pub use files::temp_folder;
 pub use modes::*;
 pub use platform::*;
-pub use process::{wait_until, Process};
+pub use process::{unique_request_id, wait_until, Process};
 pub use standalone::*;
--- a/tests/stubs/process.rs
+++ b/tests/stubs/process.rs
@@ -4,6 +4,7 @@
 use std::net::{SocketAddr, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -13,6 +14,12 @@
 /// The pause between two requests of [`Process::send_reads`].
 const REQUEST_PAUSE: Duration = Duration::from_millis(20);
 
+/// Returns a request id that no other call returns.
+pub fn unique_request_id() -> String {
+    static LAST: AtomicU64 = AtomicU64::new(0);
+    format!("request-{}", LAST.fetch_add(1, Ordering::Relaxed))
+}
+
 /// The responses to [`Process::send_reads`].
 #[derive(Clone, Copy, Debug)]
 pub struct SentReads {
@@ -114,7 +121,7 @@
         let mut sent = SentReads { served: 0, all: 0 };
         while Instant::now() < until {
             sent.all += 1;
-            let response = self.connect().ask(&read(&format!("request-{}-{until:?}", sent.all), 9_000));
+            let response = self.request(&read(&unique_request_id(), 9_000));
             sent.served += usize::from(response.status() == 200);
             thread::sleep(REQUEST_PAUSE);
         }
