A drain in the response that ends a suspension gets no new grace

Cause: the grace of an endpoint ran from when its drain was received (TrackedEndpoint::start_draining). The response ends the suspension before the balancer has the new list, and an attempt that was decided by the old one passed both checks: the list was confirmed, and the grace had just begun. The drain counts as notified from the bound of the list on.

Change: the expiry of the list says since when a change counts as notified, and a drain that is received takes that time if it is earlier than now.

Measured: drain_in_the_response_that_ends_a_suspension_has_no_new_grace fails before (sent) and passes.

--- a/crates/membership/src/lease/terms.rs
+++ b/crates/membership/src/lease/terms.rs
@@ -23,6 +23,7 @@
     pub(super) fn expiry(&self, notified_from: Micros, notified_until: Micros, cause: ExpiryCause) -> Expiry {
         let suspended_from = |notified: Micros| notified + self.drain_grace - self.margin;
         Expiry {
+            notified_from,
             from: suspended_from(notified_from),
             until: suspended_from(notified_until) + self.max_suspension,
             cause,
@@ -68,6 +69,9 @@
 /// The period in which no new request may be forwarded to any endpoint, unless a response is received.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Expiry {
+    /// When the earliest change that was not received counts as notified, in microseconds. The period starts
+    /// after it.
+    pub notified_from: Micros,
     /// The first instant of the period, in microseconds.
     pub from: Micros,
     /// The end of the period (exclusive), in microseconds.
--- a/crates/proxy/src/membership/discovery/mod.rs
+++ b/crates/proxy/src/membership/discovery/mod.rs
@@ -162,6 +162,7 @@
     fn apply_watch_state(&self, session: &Session) {
         let clock = self.registry.clock;
         let expiry = session.watch.expiry().map(|expiry| ListExpiry {
+            notified_from: clock.instant(expiry.notified_from),
             from: clock.instant(expiry.from),
             until: clock.instant(expiry.until),
             cause: expiry.cause,
--- a/crates/proxy/src/upstream/endpoint_table.rs
+++ b/crates/proxy/src/upstream/endpoint_table.rs
@@ -23,7 +23,7 @@
     entry: Endpoint,
     /// The address on which the endpoint accepts connections.
     pub address: SocketAddr,
-    /// When this process first saw the endpoint as draining or removed; `None` while it is neither.
+    /// When it counts as notified that the endpoint is draining or removed; `None` while it is neither.
     pub draining_since: Option<Instant>,
     /// The connections to the endpoint.
     pub connections: EndpointConnections,
@@ -35,7 +35,7 @@
         TrackedEndpoint { entry, address, draining_since: None, connections }
     }
 
-    fn update(&mut self, entry: &Endpoint, address: SocketAddr) {
+    fn update(&mut self, entry: &Endpoint, address: SocketAddr, notified_at: Instant) {
         if self.address != address || self.entry.up_since != entry.up_since {
             // The endpoint is another process or has another address, so the old connections are useless.
             self.connections.close_all();
@@ -45,17 +45,17 @@
         if entry.state == EndpointState::Ready {
             self.draining_since = None;
         } else {
-            self.start_draining();
+            self.start_draining(notified_at);
         }
     }
 
-    fn remove(&mut self) {
+    fn remove(&mut self, notified_at: Instant) {
         self.entry.state = EndpointState::Removed;
-        self.start_draining();
+        self.start_draining(notified_at);
     }
 
-    fn start_draining(&mut self) {
-        self.draining_since.get_or_insert_with(Instant::now);
+    fn start_draining(&mut self, notified_at: Instant) {
+        self.draining_since.get_or_insert(notified_at);
         self.connections.close_all();
     }
 
@@ -69,17 +69,21 @@
 }
 
 impl EndpointTable {
-    /// Adds or updates an endpoint from its entry in the endpoint list.
-    pub fn update(&mut self, entry: &Endpoint, address: SocketAddr) {
+    /// Adds or updates an endpoint from its entry in the endpoint list, which counts as notified at this time.
+    pub fn update(&mut self, entry: &Endpoint, address: SocketAddr, notified_at: Instant) {
         let endpoint = self.endpoints.entry(entry.id);
-        endpoint.or_insert_with(|| TrackedEndpoint::new(entry.clone(), address)).update(entry, address);
+        endpoint.or_insert_with(|| TrackedEndpoint::new(entry.clone(), address)).update(
+            entry,
+            address,
+            notified_at,
+        );
     }
 
-    /// Marks all endpoints that are not listed as removed.
-    pub fn mark_unlisted_removed(&mut self, is_listed: impl Fn(EndpointId) -> bool) {
+    /// Marks all endpoints that are not listed as removed, which counts as notified at this time.
+    pub fn mark_unlisted_removed(&mut self, is_listed: impl Fn(EndpointId) -> bool, notified_at: Instant) {
         for (id, endpoint) in &mut self.endpoints {
             if !is_listed(*id) {
-                endpoint.remove();
+                endpoint.remove(notified_at);
             }
         }
     }
--- a/crates/proxy/src/upstream/list_expiry.rs
+++ b/crates/proxy/src/upstream/list_expiry.rs
@@ -11,6 +11,8 @@
 /// The period in which the endpoint list is too old to send to any endpoint.
 #[derive(Clone, Copy, Debug)]
 pub struct ListExpiry {
+    /// When the earliest change that was not received counts as notified.
+    pub notified_from: Instant,
     /// The start of the period, inclusive.
     pub from: Instant,
     /// The end of the period, exclusive.
@@ -43,6 +45,13 @@
         }
     }
 
+    /// When a change that is received now counts as notified: from now on, or already from an earlier time if
+    /// the list was not confirmed since.
+    pub fn notified_at(&self) -> Instant {
+        let now = Instant::now();
+        self.expiry.get().map_or(now, |expiry| expiry.notified_from.min(now))
+    }
+
     /// Whether the list has expired. Must be called only when there is an attempt to send, because it logs
     /// that the attempt is not sent.
     pub fn is_expired(&self) -> bool {
--- a/crates/proxy/src/upstream/mod.rs
+++ b/crates/proxy/src/upstream/mod.rs
@@ -200,12 +200,14 @@
 
     /// Adds or updates an endpoint from its entry in the endpoint list and the address to connect to.
     pub fn update_endpoint(&self, entry: &Endpoint, address: SocketAddr) {
-        self.endpoints.borrow_mut().update(entry, address);
+        let notified_at = self.list_expiry.notified_at();
+        self.endpoints.borrow_mut().update(entry, address, notified_at);
     }
 
     /// Marks all endpoints that are not listed as removed. To be called with a complete endpoint list.
     pub fn mark_unlisted_removed(&self, is_listed: impl Fn(EndpointId) -> bool) {
-        self.endpoints.borrow_mut().mark_unlisted_removed(is_listed);
+        let notified_at = self.list_expiry.notified_at();
+        self.endpoints.borrow_mut().mark_unlisted_removed(is_listed, notified_at);
     }
 
     /// Visits each endpoint with its address, including removed ones that have not been forgotten.
--- a/crates/proxy/src/upstream/tests.rs
+++ b/crates/proxy/src/upstream/tests.rs
@@ -2,6 +2,7 @@
 
 use decide::{EndpointState, Outcome};
 use hyper::StatusCode;
+use membership::ExpiryCause;
 use tokio::task::LocalSet;
 use tokio::time::timeout;
 
@@ -111,6 +112,34 @@
     assert_eq!(check(), Ok(()), "listed again, by its own name");
 }
 
+/// Guards against a drain that is received when sending was suspended for it, and that gets a new grace from then
+/// on: an attempt that was decided by the old list would still be sent.
+#[test]
+fn drain_in_the_response_that_ends_a_suspension_has_no_new_grace() {
+    let grace = Duration::from_secs(60);
+    let transport = Transport { keepalive: 0, connect_timeout: 0, drain_grace: grace.as_micros() as i64 };
+    let pool = UpstreamPool::new(transport, 9);
+    let update = |state| {
+        let entry = Endpoint { id: ENTRY, state, ..Endpoint::default() };
+        pool.update_endpoint(&entry, "127.0.0.1:9".parse().expect("an address"));
+    };
+    let check = || send_checks::check_before_write(&pool, &attempt_request(None)).map(|_| ());
+    update(EndpointState::Ready);
+    let now = Instant::now();
+    let notified_from = now.checked_sub(grace).expect("an instant");
+    let cause = ExpiryCause::Unconfirmed;
+    let (from, until) = (notified_from + grace - MAX_WRITE_DELAY, now + grace);
+    pool.set_list_expiry(Some(ListExpiry { notified_from, from, until, cause }));
+    assert_eq!(check(), Err(NotSentReason::ListExpired));
+    update(EndpointState::Draining);
+    pool.set_list_expiry(None);
+    assert_eq!(check(), Err(NotSentReason::EndpointDrained));
+    // A drain that is received while the list is confirmed has its grace.
+    update(EndpointState::Ready);
+    update(EndpointState::Draining);
+    assert_eq!(check(), Ok(()));
+}
+
 /// The outcome decides whether an attempt is retried and whether its endpoint is blamed. An error that leaves
 /// open whether the request was executed must not map to an outcome that rules it out.
 #[test]
