A move to another agent leaves the list unconfirmed, and counts four seconds later

Seen: SIGHUP names an agent that has a drain and is silent, gone, or takes no connection up: drain_at_the_agent_of_a_new_configuration_is_kept fails on (silent and gone: requests past four seconds and the grace; with 503 it was suspended too early).

Cause: Lease::change_address did nothing where lists are pushed. The list that the old agent had confirmed counted as confirmed by the new one, until an error, which counted at once.

Change: with the new address the list is unconfirmed, and what its agent has counts as notified four seconds after the signal, whatever the calls to it do. A bound that stood before stays.

--- a/crates/membership/src/lease/agent.rs
+++ b/crates/membership/src/lease/agent.rs
@@ -6,9 +6,12 @@
 
 use super::{CallFailure, Expiry, ExpiryCause, InitialList, LeaseTerms};
 use crate::call::DiscoveryCall;
-use crate::time::{Micros, MILLISECOND};
+use crate::time::{Micros, MILLISECOND, SECOND};
 use crate::watch::ListStatus;
 
+/// The time from a new configuration until what the agent that it names has counts as notified (rule of the
+/// platform).
+const NOTIFIED_AFTER_MOVE: Micros = 4 * SECOND;
 /// The time within which all sockets of a process that ends are closed.
 const PROCESS_END_TIME: Micros = 50 * MILLISECOND;
 
@@ -96,6 +99,22 @@
         Some(terms.expiry(notified_from, notified_from, cause))
     }
 
+    /// Records that another agent is called from now on. What it has counts as notified
+    /// [`NOTIFIED_AFTER_MOVE`] later.
+    pub fn change_address(&mut self, now: Micros) {
+        let notified_from = now + NOTIFIED_AFTER_MOVE;
+        match &mut self.list {
+            AgentList::Absent => {}
+            AgentList::Current | AgentList::AgentGone { .. } => {
+                self.list = AgentList::Unconfirmed(Doubt::new(notified_from, ExpiryCause::AddressChanged));
+            }
+            AgentList::Unconfirmed(doubt) => {
+                doubt.notified_from = doubt.notified_from.min(notified_from);
+                doubt.lost_at = None;
+            }
+        }
+    }
+
     /// Records that a response was received completely.
     pub fn confirm(&mut self) {
         self.list = AgentList::Current;
--- a/crates/membership/src/lease/mod.rs
+++ b/crates/membership/src/lease/mod.rs
@@ -134,8 +134,9 @@
     /// Records that discovery moved to another address. `is_watching` is whether discovery held a call until
     /// now.
     pub fn change_address(&mut self, now: Micros, is_watching: bool) {
-        if let Lease::Service(lease) = self {
-            lease.change_address(now, is_watching);
+        match self {
+            Lease::Service(lease) => lease.change_address(now, is_watching),
+            Lease::Agent(lease) => lease.change_address(now),
         }
     }
 
--- a/crates/membership/src/lease/terms.rs
+++ b/crates/membership/src/lease/terms.rs
@@ -60,6 +60,8 @@
 pub enum ExpiryCause {
     /// Discovery has not confirmed the list that the process started with.
     Unconfirmed,
+    /// The agent that a new configuration names has not confirmed the list.
+    AddressChanged,
     /// Calls to discovery failed.
     CallsFailed,
     /// A response of discovery broke off, or was not received.
--- a/crates/proxy/src/upstream/list_expiry.rs
+++ b/crates/proxy/src/upstream/list_expiry.rs
@@ -68,6 +68,9 @@
 fn log_text(cause: ExpiryCause) -> &'static str {
     match cause {
         ExpiryCause::Unconfirmed => "discovery has not confirmed the list that this process started with",
+        ExpiryCause::AddressChanged => {
+            "the agent that the new configuration names has not confirmed the list"
+        }
         ExpiryCause::CallsFailed => {
             "calls to discovery failed, and other proxies may have been notified of a drain"
         }
--- a/tests/pushed_lists.rs
+++ b/tests/pushed_lists.rs
@@ -199,6 +199,24 @@
     });
 }
 
+/// Guards against a list of the old agent that stays in use although the new one, which is silent, has a drain:
+/// that counts as notified four seconds after the new configuration.
+#[test]
+fn drain_at_the_agent_of_a_new_configuration_is_kept() {
+    in_parallel([Silent, Gone, Rejecting, NotAccepting], |behavior| {
+        let Confirmed { endpoints, agent, proxy } = Confirmed::start();
+        let next = MockAgent::start(&endpoints.list("DRAINING"), behavior);
+        proxy.reload(&endpoints.config(&next));
+        let limit = Instant::now() + Duration::from_secs(4) + DRAIN_GRACE;
+        let sent = proxy.send_reads(Duration::from_secs(3));
+        assert_eq!(sent.served, sent.all, "{behavior:?}: suspended too early");
+        let process = Confirmed { endpoints, agent: next, proxy };
+        process.proxy.send_reads(Duration::from_secs(3));
+        process.check_drained(limit, &format!("moved to an agent that is {behavior:?}"));
+        drop(agent);
+    });
+}
+
 /// A move to an agent that answers costs no request.
 #[test]
 fn new_configuration_with_an_agent_that_answers_costs_no_request() {
