A pushed response that is late or breaks off is no proof of what the agent has now

Seen: two tests fail on. drain_after_a_late_response_was_composed_is_kept: the first response comes 0.3 s late, the agent has a drain that was made after it was composed and is silent since; requests go on. drain_in_a_response_that_breaks_off_is_kept: a response with the drain breaks off, the agent is silent since; requests go on past the grace.

Cause: any complete response confirmed the list as of when it was read, and what a broken one held counted two seconds later, as where discovery is polled. What an agent has counts at once.

Change: a response shows what the agent had when its call was made, unless it came within 250 ms of when it could be sent. After a late one a call with the 1 ms wait follows at once, and the list is unconfirmed until that is answered; a list that was current before is given 250 ms for it. A response that breaks off, or stalls, counts from its first byte.

--- a/crates/membership/src/call.rs
+++ b/crates/membership/src/call.rs
@@ -44,8 +44,18 @@
 impl DiscoveryCall {
     /// Returns when the call is overdue.
     pub fn overdue_at(&self) -> Micros {
-        let response_due = self.started_at + self.longest_hold() + RESPONSE_GRACE;
-        self.response_started_at.map_or(response_due, |started| started + BODY_TIMEOUT)
+        self.response_started_at.map_or(self.response_due_at(), |started| started + BODY_TIMEOUT)
+    }
+
+    /// Returns when a response should have started.
+    fn response_due_at(&self) -> Micros {
+        self.started_at + self.longest_hold() + RESPONSE_GRACE
+    }
+
+    /// Returns whether a response that was received completely at `now` came at once when it could be sent.
+    pub fn is_prompt(&self, now: Micros) -> bool {
+        let body_due_at = self.response_started_at.map_or(now, |started| started + RESPONSE_GRACE);
+        now <= self.response_due_at() && now <= body_due_at
     }
 
     /// Returns for how long a response to the call may be withheld.
--- a/crates/membership/src/lease/agent.rs
+++ b/crates/membership/src/lease/agent.rs
@@ -5,7 +5,7 @@
 //! that was current before stays current. The bound of each state is listed in the [module above](super).
 
 use super::{CallFailure, Expiry, ExpiryCause, InitialList, LeaseTerms};
-use crate::call::DiscoveryCall;
+use crate::call::{DiscoveryCall, RESPONSE_GRACE};
 use crate::time::{Micros, MILLISECOND, SECOND};
 use crate::watch::ListStatus;
 
@@ -88,11 +88,16 @@
         matches!(self.list, AgentList::Unconfirmed(_))
     }
 
-    /// Returns the period in which forwarding is suspended. `None` without terms or without a bound.
-    pub fn expiry(&self) -> Option<Expiry> {
+    /// Returns the period in which forwarding is suspended, given the calls in flight. `None` without terms or
+    /// without a bound.
+    pub fn expiry(&self, calls: &[DiscoveryCall]) -> Option<Expiry> {
         let terms = self.terms?;
         let (notified_from, cause) = match self.list {
-            AgentList::Absent | AgentList::Current => return None,
+            AgentList::Absent => return None,
+            AgentList::Current => {
+                let response_began_at = calls.iter().filter_map(|call| call.response_started_at).min()?;
+                (response_began_at, ExpiryCause::ResponseMissing)
+            }
             AgentList::AgentGone { refused_at } => (refused_at, ExpiryCause::CallsFailed),
             AgentList::Unconfirmed(doubt) => (doubt.notified_from, doubt.cause),
         };
@@ -115,14 +120,43 @@
         }
     }
 
-    /// Records that a response was received completely.
-    pub fn confirm(&mut self) {
-        self.list = AgentList::Current;
+    /// Records that the response to a call was received completely. One that comes late may have been written
+    /// long ago: it shows only what the agent had when the call was made.
+    pub fn confirm(&mut self, now: Micros, call: &DiscoveryCall) {
+        if call.is_prompt(now) {
+            self.list = AgentList::Current;
+            return;
+        }
+        let shown_at = call.started_at;
+        match &mut self.list {
+            AgentList::Absent => {
+                self.list = AgentList::Unconfirmed(Doubt::new(shown_at, ExpiryCause::ResponseLate));
+            }
+            AgentList::Current => {
+                let notified_from = shown_at.max(self.notification_that_suspends_at(now + RESPONSE_GRACE));
+                self.list = AgentList::Unconfirmed(Doubt::new(notified_from, ExpiryCause::ResponseLate));
+            }
+            AgentList::AgentGone { refused_at } => {
+                let notified_from = shown_at.max(*refused_at);
+                self.list = AgentList::Unconfirmed(Doubt::new(notified_from, ExpiryCause::ResponseLate));
+            }
+            AgentList::Unconfirmed(doubt) if doubt.notified_from < shown_at => {
+                *doubt = Doubt::new(shown_at, ExpiryCause::ResponseLate);
+            }
+            AgentList::Unconfirmed(doubt) => doubt.lost_at = None,
+        }
+    }
+
+    /// Returns the time from which changes would have to count as notified for forwarding to be suspended at
+    /// `suspended_at`.
+    fn notification_that_suspends_at(&self, suspended_at: Micros) -> Micros {
+        self.terms.map_or(suspended_at, |terms| suspended_at + terms.margin - terms.drain_grace)
     }
 
-    /// Records a missing response, whose changes count as notified from `from` on.
-    pub fn record_missing_response(&mut self, from: Micros) {
-        self.doubt(Doubt::new(from, ExpiryCause::ResponseMissing));
+    /// Records that the response to a call broke off. What was in it counts as notified since it began.
+    pub fn record_truncated_response(&mut self, now: Micros, call: &DiscoveryCall) {
+        let began_at = call.response_started_at.unwrap_or(now);
+        self.doubt(Doubt::new(began_at, ExpiryCause::ResponseMissing));
     }
 
     /// Records that the agent took a call and has not responded in time.
--- a/crates/membership/src/lease/mod.rs
+++ b/crates/membership/src/lease/mod.rs
@@ -111,23 +111,23 @@
     pub fn expiry(&self, calls: &[DiscoveryCall]) -> Option<Expiry> {
         match self {
             Lease::Service(lease) => lease.expiry(calls),
-            Lease::Agent(lease) => lease.expiry(),
+            Lease::Agent(lease) => lease.expiry(calls),
         }
     }
 
-    /// Records that a response was received completely.
-    pub fn confirm(&mut self, now: Micros) {
+    /// Records that the response to a call was received completely.
+    pub fn confirm(&mut self, now: Micros, call: &DiscoveryCall) {
         match self {
             Lease::Service(lease) => lease.confirm(now),
-            Lease::Agent(lease) => lease.confirm(),
+            Lease::Agent(lease) => lease.confirm(now, call),
         }
     }
 
-    /// Records a missing response, whose changes count as notified from `from` on.
-    pub fn record_missing_response(&mut self, from: Micros) {
+    /// Records that the response to a call broke off: its changes count as notified, received or not.
+    pub fn record_truncated_response(&mut self, now: Micros, call: &DiscoveryCall) {
         match self {
-            Lease::Service(lease) => lease.record_missing_response(from),
-            Lease::Agent(lease) => lease.record_missing_response(from),
+            Lease::Service(lease) => lease.record_missing_response(call.notified_at()),
+            Lease::Agent(lease) => lease.record_truncated_response(now, call),
         }
     }
 
--- a/crates/membership/src/lease/terms.rs
+++ b/crates/membership/src/lease/terms.rs
@@ -62,6 +62,8 @@
     Unconfirmed,
     /// The agent that a new configuration names has not confirmed the list.
     AddressChanged,
+    /// The response of an agent came so late that it may not have the latest changes.
+    ResponseLate,
     /// Calls to discovery failed.
     CallsFailed,
     /// A response of discovery broke off, or was not received.
--- a/crates/membership/src/watch/mod.rs
+++ b/crates/membership/src/watch/mod.rs
@@ -38,9 +38,11 @@
 /// The period over which the first calls of processes without a list are spread at random, so that a fleet
 /// that starts together does not poll together.
 const FIRST_CALL_SPREAD: Micros = SECOND;
-/// The pause before the second retry of a call whose connection broke: a process that ends does not close all
-/// its sockets at the same instant.
+/// The pause before a further retry of a call whose connection broke: a process that ends does not close all its
+/// sockets at the same instant.
 const PROCESS_END_RETRY: Micros = 10 * MILLISECOND;
+/// The number of such retries; the next ones come after the usual backoff.
+const PROCESS_END_RETRIES: usize = 4;
 /// The maximum number of calls in flight: an overdue one, and its retry.
 const MAX_CALLS: usize = 2;
 /// How long after it is overdue a call to an agent is kept open at most: the time after which a watch that fell
@@ -193,7 +195,7 @@
         let Some(call) = self.take_call(id) else { return };
         // The response to an older call would contain the same list or an older one.
         self.close_all(actions);
-        self.lease.confirm(now);
+        self.lease.confirm(now, &call);
         self.has_version = true;
         self.retries = 0;
         self.was_rejected = false;
@@ -212,7 +214,7 @@
         let Some(mut call) = self.take_call(id) else { return };
         call.response_started_at.get_or_insert(now);
         self.last_result = CallResult::Incomplete;
-        self.lease.record_missing_response(call.notified_at());
+        self.lease.record_truncated_response(now, &call);
         self.plan_retry(now);
     }
 
@@ -237,7 +239,7 @@
     fn retry_lost_call(&mut self, now: Micros, lost: &DiscoveryCall, actions: &mut Vec<WatchAction>) {
         if now - lost.started_at >= MIN_CALL_INTERVAL {
             self.poll(now, actions);
-        } else if self.retries == 0 {
+        } else if self.retries < PROCESS_END_RETRIES {
             self.retries += 1;
             self.next_call_at = Some(now + PROCESS_END_RETRY);
         } else {
@@ -283,7 +285,7 @@
         self.last_result = call.overdue_result();
         actions.push(WatchAction::CloseCall { call: call.id });
         if call.response_started_at.is_some() {
-            self.lease.record_missing_response(call.notified_at());
+            self.lease.record_truncated_response(now, &call);
             self.plan_retry(now);
         } else {
             self.lease.fail(now, &call, CallFailure::Unreachable, &self.calls);
--- a/crates/proxy/src/upstream/list_expiry.rs
+++ b/crates/proxy/src/upstream/list_expiry.rs
@@ -71,6 +71,9 @@
         ExpiryCause::AddressChanged => {
             "the agent that the new configuration names has not confirmed the list"
         }
+        ExpiryCause::ResponseLate => {
+            "the response of the agent came late, and it may not have the latest changes"
+        }
         ExpiryCause::CallsFailed => {
             "calls to discovery failed, and other proxies may have been notified of a drain"
         }
--- a/crates/testkit/src/mock_agent.rs
+++ b/crates/testkit/src/mock_agent.rs
@@ -46,6 +46,7 @@
     version: u64,
     hosts: Vec<String>,
     behavior: AgentBehavior,
+    is_listening: bool,
     /// The path and time of each call received.
     calls: Vec<(String, Instant)>,
     connections: Vec<TcpStream>,
@@ -73,8 +74,14 @@
     pub fn start(hosts: &[String], behavior: AgentBehavior) -> MockAgent {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
         let address = listener.local_addr().expect("bound");
-        let state =
-            State { version: 1, hosts: hosts.to_vec(), behavior, calls: Vec::new(), connections: Vec::new() };
+        let state = State {
+            version: 1,
+            hosts: hosts.to_vec(),
+            behavior,
+            is_listening: true,
+            calls: Vec::new(),
+            connections: Vec::new(),
+        };
         let shared = Arc::new(Shared { address, state: Mutex::new(state), changed: Condvar::new() });
         let serving = Arc::clone(&shared);
         thread::spawn(move || serving.listen(listener));
@@ -95,6 +102,8 @@
         let mut state = self.shared.lock();
         state.behavior = behavior;
         if behavior == AgentBehavior::Gone {
+            // The sockets of a process that ends are closed in the order of their descriptors.
+            state = self.shared.changed.wait_while(state, |state| state.is_listening).expect("unpoisoned");
             for connection in state.connections.drain(..) {
                 let _ = connection.shutdown(Shutdown::Both);
             }
@@ -135,6 +144,8 @@
                     self.accept(listener);
                 }
             }
+            self.lock().is_listening = listening.is_some();
+            self.changed.notify_all();
             thread::sleep(ACCEPT_PAUSE);
         }
     }
@@ -170,6 +181,7 @@
         loop {
             let is_due = query.after.is_none_or(|after| state.version > after) || Instant::now() >= due;
             match state.behavior {
+                AgentBehavior::Gone if state.is_listening => {}
                 AgentBehavior::Gone | AgentBehavior::Disconnecting => return None,
                 AgentBehavior::Rejecting => return Some(Response::rejection()),
                 AgentBehavior::Answering if is_due => return Some(Response::of_list(&state, query.after)),
--- a/tests/pushed_lists.rs
+++ b/tests/pushed_lists.rs
@@ -10,7 +10,7 @@
 use std::time::{Duration, Instant};
 
 use stubs::*;
-use AgentBehavior::{Answering, Disconnecting, Gone, NotAccepting, Rejecting, Silent, Truncating};
+use AgentBehavior::{Answering, Disconnecting, Gone, Late, NotAccepting, Rejecting, Silent, Truncating};
 
 /// The drain grace in the settings: after it no request may be forwarded.
 const DRAIN_GRACE: Duration = Duration::from_millis(500);
@@ -238,6 +238,39 @@
     assert!(agent.calls()[0].0.ends_with("after=1&wait_ms=1"), "{:?}", agent.calls()[0]);
 }
 
+/// Guards against a response that comes late, and that is taken for the proof that the list is current now: the
+/// drain was made after it was composed, and the agent is silent since.
+#[test]
+fn drain_after_a_late_response_was_composed_is_kept() {
+    in_parallel([300, 600, 1_200, 3_000], |delay_ms| {
+        let delay = Duration::from_millis(delay_ms);
+        let endpoints = Endpoints::start();
+        let agent = MockAgent::start(&endpoints.list("SERVING"), Late(delay));
+        let proxy = start_config(&endpoints.config(&agent));
+        wait_until("called", || !agent.calls().is_empty());
+        thread::sleep(Duration::from_millis(30));
+        let process = Confirmed { endpoints, agent, proxy };
+        let limit = process.drain();
+        process.agent.set_behavior(Silent);
+        process.proxy.send_reads(delay + PHASE);
+        process.check_drained(limit, &format!("response after {delay:?}"));
+    });
+}
+
+/// Guards against a response that breaks off and is allowed two seconds more: the agent had the drain that was in
+/// it, and is silent or gone since.
+#[test]
+fn drain_in_a_response_that_breaks_off_is_kept() {
+    in_parallel([Silent, Gone], |then| {
+        let process = Confirmed::start();
+        process.agent.set_behavior(Truncating);
+        let limit = process.drain();
+        thread::sleep(Duration::from_millis(30));
+        process.agent.set_behavior(then);
+        process.check_drained(limit, &format!("broken off, then {then:?}"));
+    });
+}
+
 /// A process without a list serves nothing before the agent has given it one, and then by that.
 #[test]
 fn start_without_a_list_waits_for_the_agent() {
