A process that stood still sends by no pushed list before the agent confirmed it anew

Seen: two tests fail on. drain_while_the_process_was_stopped_is_kept: the agent writes a drain to the socket of a stopped process and is silent then; when the process goes on, requests that waited go to the draining endpoint past its grace (in 3 of 6 parallel cases). drain_after_an_unread_response_to_the_first_call_is_kept: the response to the first call lay unread for a second and confirmed the list as of now (in 4 of 4 cases).

Cause: a pushed list that was confirmed had no bound, so nothing could run out while the process stood; and the response to a call that was made before counted as new when it was read.

Change: a current list is a lease that the running process renews four times within the grace. If it ran out, the list is unconfirmed since the last renewal, and only the response to a call that was made after that dispels the doubt. With a grace too short to be renewed there is no such bound.

Measured: both tests pass. The whole of pushed_lists.rs passed.

--- a/crates/membership/src/lease/agent.rs
+++ b/crates/membership/src/lease/agent.rs
@@ -12,6 +12,10 @@
 /// The time from a new configuration until what the agent that it names has counts as notified (rule of the
 /// platform).
 const NOTIFIED_AFTER_MOVE: Micros = 4 * SECOND;
+/// How often the lease on a current list is renewed within the time for which it may be used without.
+const RENEWALS_PER_USABLE_TIME: Micros = 4;
+/// The minimum time between two renewals.
+const MIN_RENEWAL_INTERVAL: Micros = 20 * MILLISECOND;
 /// The time within which all sockets of a process that ends are closed.
 const PROCESS_END_TIME: Micros = 50 * MILLISECOND;
 
@@ -21,7 +25,10 @@
     /// There is no list.
     Absent,
     /// The agent confirmed the list, and has held a call since, or taken the next one at once.
-    Current,
+    Current {
+        /// When the process last ran, so that a response would have been read.
+        checked_at: Micros,
+    },
     /// The list was current when the agent was last found to be gone: its kernel refused a connection.
     AgentGone {
         /// When the last connection was refused.
@@ -37,13 +44,15 @@
     /// When the earliest such change counts as notified.
     notified_from: Micros,
     cause: ExpiryCause,
+    /// When the doubt arose. Only the response to a later call dispels it.
+    since: Micros,
     /// When connections began to break, if the list was current then and no call has ended otherwise since.
     lost_at: Option<Micros>,
 }
 
 impl Doubt {
-    fn new(notified_from: Micros, cause: ExpiryCause) -> Doubt {
-        Doubt { notified_from, cause, lost_at: None }
+    fn new(since: Micros, notified_from: Micros, cause: ExpiryCause) -> Doubt {
+        Doubt { notified_from, cause, since, lost_at: None }
     }
 
     /// Returns whether a refusal shows that the process of the agent ended when connections began to break, so
@@ -64,7 +73,9 @@
     pub fn new(terms: Option<LeaseTerms>, list: InitialList, now: Micros) -> AgentLease {
         let list = match list {
             InitialList::Absent => AgentList::Absent,
-            InitialList::Unconfirmed => AgentList::Unconfirmed(Doubt::new(now, ExpiryCause::Unconfirmed)),
+            InitialList::Unconfirmed => {
+                AgentList::Unconfirmed(Doubt::new(now, now, ExpiryCause::Unconfirmed))
+            }
         };
         AgentLease { terms, list }
     }
@@ -73,14 +84,14 @@
     pub fn status(&self) -> ListStatus {
         match self.list {
             AgentList::Absent => ListStatus::Absent,
-            AgentList::Current | AgentList::AgentGone { .. } => ListStatus::Confirmed,
+            AgentList::Current { .. } | AgentList::AgentGone { .. } => ListStatus::Confirmed,
             AgentList::Unconfirmed(_) => ListStatus::Unconfirmed,
         }
     }
 
     /// Returns whether the agent confirmed the list and may hold a call until there is a change.
     pub fn is_current(&self) -> bool {
-        self.list == AgentList::Current
+        matches!(self.list, AgentList::Current { .. })
     }
 
     /// Returns whether the agent may have changes that were not received.
@@ -92,29 +103,68 @@
     /// without a bound.
     pub fn expiry(&self, calls: &[DiscoveryCall]) -> Option<Expiry> {
         let terms = self.terms?;
-        let (notified_from, cause) = match self.list {
-            AgentList::Absent => return None,
-            AgentList::Current => {
-                let response_began_at = calls.iter().filter_map(|call| call.response_started_at).min()?;
-                (response_began_at, ExpiryCause::ResponseMissing)
-            }
-            AgentList::AgentGone { refused_at } => (refused_at, ExpiryCause::CallsFailed),
-            AgentList::Unconfirmed(doubt) => (doubt.notified_from, doubt.cause),
-        };
+        let (notified_from, cause) = self.earliest_notification(calls)?;
         Some(terms.expiry(notified_from, notified_from, cause))
     }
 
+    /// Returns the earliest time at which a change that was not received may count as notified, and the cause.
+    fn earliest_notification(&self, calls: &[DiscoveryCall]) -> Option<(Micros, ExpiryCause)> {
+        match self.list {
+            AgentList::Absent => None,
+            AgentList::Current { checked_at } => {
+                let renewed = self.renewal_interval().map(|_| (checked_at, ExpiryCause::ProcessStopped));
+                let response_began_at = calls.iter().filter_map(|call| call.response_started_at).min();
+                let incomplete = response_began_at.map(|at| (at, ExpiryCause::ResponseMissing));
+                renewed.into_iter().chain(incomplete).min_by_key(|(from, _)| *from)
+            }
+            AgentList::AgentGone { refused_at } => {
+                self.renewal_interval().map(|_| (refused_at, ExpiryCause::CallsFailed))
+            }
+            AgentList::Unconfirmed(doubt) => Some((doubt.notified_from, doubt.cause)),
+        }
+    }
+
+    /// Returns when [`AgentLease::check`] is due, which renews the lease while the process runs.
+    pub fn check_due_at(&self) -> Option<Micros> {
+        match self.list {
+            AgentList::Current { checked_at } => Some(checked_at + self.renewal_interval()?),
+            _ => None,
+        }
+    }
+
+    /// Records that the process runs at `now`. If it did not for so long that the lease ran out, responses and
+    /// the end of the agent may be unread.
+    pub fn check(&mut self, now: Micros) {
+        let Some(expiry) = self.expiry(&[]) else { return };
+        if let AgentList::Current { checked_at } = self.list {
+            self.list = if now < expiry.from {
+                AgentList::Current { checked_at: now }
+            } else {
+                AgentList::Unconfirmed(Doubt::new(now, checked_at, ExpiryCause::ProcessStopped))
+            };
+        }
+    }
+
+    /// Returns the time between two renewals of the lease on a current list. `None` if the lease would run out
+    /// before it could be renewed; it has no bound then.
+    fn renewal_interval(&self) -> Option<Micros> {
+        let usable_time = self.terms.map(|terms| terms.drain_grace - terms.margin)?;
+        Some(usable_time / RENEWALS_PER_USABLE_TIME).filter(|interval| *interval >= MIN_RENEWAL_INTERVAL)
+    }
+
     /// Records that another agent is called from now on. What it has counts as notified
     /// [`NOTIFIED_AFTER_MOVE`] later.
     pub fn change_address(&mut self, now: Micros) {
         let notified_from = now + NOTIFIED_AFTER_MOVE;
         match &mut self.list {
             AgentList::Absent => {}
-            AgentList::Current | AgentList::AgentGone { .. } => {
-                self.list = AgentList::Unconfirmed(Doubt::new(notified_from, ExpiryCause::AddressChanged));
+            AgentList::Current { .. } | AgentList::AgentGone { .. } => {
+                self.list =
+                    AgentList::Unconfirmed(Doubt::new(now, notified_from, ExpiryCause::AddressChanged));
             }
             AgentList::Unconfirmed(doubt) => {
                 doubt.notified_from = doubt.notified_from.min(notified_from);
+                doubt.since = now;
                 doubt.lost_at = None;
             }
         }
@@ -123,25 +173,29 @@
     /// Records that the response to a call was received completely. One that comes late may have been written
     /// long ago: it shows only what the agent had when the call was made.
     pub fn confirm(&mut self, now: Micros, call: &DiscoveryCall) {
-        if call.is_prompt(now) {
-            self.list = AgentList::Current;
+        let dispels_doubt = match self.list {
+            AgentList::Unconfirmed(doubt) => doubt.since <= call.started_at,
+            _ => true,
+        };
+        if dispels_doubt && call.is_prompt(now) {
+            self.list = AgentList::Current { checked_at: now };
             return;
         }
         let shown_at = call.started_at;
         match &mut self.list {
             AgentList::Absent => {
-                self.list = AgentList::Unconfirmed(Doubt::new(shown_at, ExpiryCause::ResponseLate));
+                self.list = AgentList::Unconfirmed(Doubt::new(now, shown_at, ExpiryCause::ResponseLate));
             }
-            AgentList::Current => {
+            AgentList::Current { .. } => {
                 let notified_from = shown_at.max(self.notification_that_suspends_at(now + RESPONSE_GRACE));
-                self.list = AgentList::Unconfirmed(Doubt::new(notified_from, ExpiryCause::ResponseLate));
+                self.list = AgentList::Unconfirmed(Doubt::new(now, notified_from, ExpiryCause::ResponseLate));
             }
             AgentList::AgentGone { refused_at } => {
                 let notified_from = shown_at.max(*refused_at);
-                self.list = AgentList::Unconfirmed(Doubt::new(notified_from, ExpiryCause::ResponseLate));
+                self.list = AgentList::Unconfirmed(Doubt::new(now, notified_from, ExpiryCause::ResponseLate));
             }
             AgentList::Unconfirmed(doubt) if doubt.notified_from < shown_at => {
-                *doubt = Doubt::new(shown_at, ExpiryCause::ResponseLate);
+                *doubt = Doubt::new(doubt.since, shown_at, ExpiryCause::ResponseLate);
             }
             AgentList::Unconfirmed(doubt) => doubt.lost_at = None,
         }
@@ -156,16 +210,17 @@
     /// Records that the response to a call broke off. What was in it counts as notified since it began.
     pub fn record_truncated_response(&mut self, now: Micros, call: &DiscoveryCall) {
         let began_at = call.response_started_at.unwrap_or(now);
-        self.doubt(Doubt::new(began_at, ExpiryCause::ResponseMissing));
+        self.doubt(Doubt::new(now, began_at, ExpiryCause::ResponseMissing));
     }
 
     /// Records that the agent took a call and has not responded in time.
-    pub fn record_silence(&mut self) {
+    pub fn record_silence(&mut self, now: Micros) {
         match &mut self.list {
-            AgentList::Absent | AgentList::Current => {}
+            AgentList::Absent | AgentList::Current { .. } => {}
             // The agent is back, and may have received changes at once.
             AgentList::AgentGone { refused_at } => {
-                self.list = AgentList::Unconfirmed(Doubt::new(*refused_at, ExpiryCause::ResponseMissing));
+                self.list =
+                    AgentList::Unconfirmed(Doubt::new(now, *refused_at, ExpiryCause::ResponseMissing));
             }
             AgentList::Unconfirmed(doubt) => doubt.lost_at = None,
         }
@@ -175,24 +230,26 @@
     pub fn fail(&mut self, now: Micros, call: &DiscoveryCall, failure: CallFailure, is_held: bool) {
         match failure {
             CallFailure::ConnectionRefused => self.record_refusal(now),
-            CallFailure::ErrorResponse => self.doubt(Doubt::new(now, ExpiryCause::CallsFailed)),
+            CallFailure::ErrorResponse => self.doubt(Doubt::new(now, now, ExpiryCause::CallsFailed)),
             CallFailure::ConnectionLost => {
                 let lost_at = self.lost_at(now);
-                self.doubt(Doubt::new(now, ExpiryCause::CallsFailed));
+                self.doubt(Doubt::new(now, now, ExpiryCause::CallsFailed));
                 if let AgentList::Unconfirmed(doubt) = &mut self.list {
                     doubt.lost_at = lost_at;
                 }
             }
             // The agent would respond to the call that it holds.
             CallFailure::Unreachable if is_held && self.is_current() => {}
-            CallFailure::Unreachable => self.doubt(Doubt::new(call.started_at, ExpiryCause::CallsFailed)),
+            CallFailure::Unreachable => {
+                self.doubt(Doubt::new(now, call.started_at, ExpiryCause::CallsFailed));
+            }
         }
     }
 
     /// Returns when the connections of an agent that confirmed the list began to break, if one breaks now.
     fn lost_at(&self, now: Micros) -> Option<Micros> {
         match self.list {
-            AgentList::Current => Some(now),
+            AgentList::Current { .. } => Some(now),
             AgentList::Unconfirmed(doubt) => doubt.lost_at,
             AgentList::Absent | AgentList::AgentGone { .. } => None,
         }
@@ -201,7 +258,7 @@
     fn record_refusal(&mut self, now: Micros) {
         match &mut self.list {
             AgentList::Absent => {}
-            AgentList::Current | AgentList::AgentGone { .. } => {
+            AgentList::Current { .. } | AgentList::AgentGone { .. } => {
                 self.list = AgentList::AgentGone { refused_at: now };
             }
             AgentList::Unconfirmed(doubt) if doubt.is_end_of_process(now) => {
@@ -215,7 +272,7 @@
     fn doubt(&mut self, doubt: Doubt) {
         match &mut self.list {
             AgentList::Absent => {}
-            AgentList::Current => self.list = AgentList::Unconfirmed(doubt),
+            AgentList::Current { .. } => self.list = AgentList::Unconfirmed(doubt),
             AgentList::AgentGone { refused_at } => {
                 let notified_from = doubt.notified_from.min(*refused_at);
                 self.list = AgentList::Unconfirmed(Doubt { notified_from, ..doubt });
--- a/crates/membership/src/lease/mod.rs
+++ b/crates/membership/src/lease/mod.rs
@@ -140,11 +140,27 @@
         }
     }
 
+    /// Returns when [`Lease::check`] is due.
+    pub fn check_due_at(&self) -> Option<Micros> {
+        match self {
+            Lease::Service(_) => None,
+            Lease::Agent(lease) => lease.check_due_at(),
+        }
+    }
+
+    /// Records that the process runs at `now`, before anything else is recorded.
+    pub fn check(&mut self, now: Micros) {
+        match self {
+            Lease::Service(_) => {}
+            Lease::Agent(lease) => lease.check(now),
+        }
+    }
+
     /// Records that discovery took a call and has not responded in time.
-    pub fn record_silence(&mut self, call: &DiscoveryCall) {
+    pub fn record_silence(&mut self, now: Micros, call: &DiscoveryCall) {
         match self {
             Lease::Service(lease) => lease.record_missing_response(call.notified_at()),
-            Lease::Agent(lease) => lease.record_silence(),
+            Lease::Agent(lease) => lease.record_silence(now),
         }
     }
 
--- a/crates/membership/src/lease/terms.rs
+++ b/crates/membership/src/lease/terms.rs
@@ -64,6 +64,8 @@
     AddressChanged,
     /// The response of an agent came so late that it may not have the latest changes.
     ResponseLate,
+    /// The process did not run for a while, and may not have read what it received.
+    ProcessStopped,
     /// Calls to discovery failed.
     CallsFailed,
     /// A response of discovery broke off, or was not received.
--- a/crates/membership/src/watch/mod.rs
+++ b/crates/membership/src/watch/mod.rs
@@ -102,7 +102,7 @@
     pub fn wake_at(&self) -> Option<Micros> {
         let in_time = self.calls.iter().filter(|call| !call.is_overdue);
         let overdue_at = in_time.map(DiscoveryCall::overdue_at);
-        overdue_at.chain(self.next_call_at).min()
+        overdue_at.chain(self.next_call_at).chain(self.lease.check_due_at()).min()
     }
 
     fn is_pushed(&self) -> bool {
@@ -136,6 +136,7 @@
 
     /// Handles one event and appends the resulting actions to `actions`.
     pub fn handle(&mut self, now: Micros, event: WatchEvent, actions: &mut Vec<WatchAction>) {
+        self.check_lease(now);
         match event {
             WatchEvent::StartWatch => self.on_start(now, actions),
             WatchEvent::AddressChanged => self.on_address_changed(now, actions),
@@ -150,6 +151,15 @@
         }
     }
 
+    /// Renews the lease. If it ran out because the process was stopped, the list has to be confirmed at once.
+    fn check_lease(&mut self, now: Micros) {
+        let was_in_doubt = self.lease.is_in_doubt();
+        self.lease.check(now);
+        if self.lease.is_in_doubt() && !was_in_doubt {
+            self.next_call_at = Some(now);
+        }
+    }
+
     fn on_start(&mut self, now: Micros, actions: &mut Vec<WatchAction>) {
         if self.is_active {
             return self.poll_if_due(now, actions);
@@ -272,7 +282,7 @@
         call.is_overdue = true;
         self.last_result = call.overdue_result();
         let is_first = !self.lease.is_in_doubt();
-        self.lease.record_silence(call);
+        self.lease.record_silence(now, call);
         if is_first || self.is_pushed() {
             self.next_call_at = Some(now);
         } else {
--- a/crates/proxy/src/upstream/list_expiry.rs
+++ b/crates/proxy/src/upstream/list_expiry.rs
@@ -74,6 +74,9 @@
         ExpiryCause::ResponseLate => {
             "the response of the agent came late, and it may not have the latest changes"
         }
+        ExpiryCause::ProcessStopped => {
+            "this process did not run for a while, and may not have read a response of the agent"
+        }
         ExpiryCause::CallsFailed => {
             "calls to discovery failed, and other proxies may have been notified of a drain"
         }
--- a/tests/pushed_lists.rs
+++ b/tests/pushed_lists.rs
@@ -271,6 +271,46 @@
     });
 }
 
+/// Guards against requests that are forwarded by the old list when a process that was stopped goes on, before it
+/// has read the response with the drain from its socket.
+#[test]
+fn drain_while_the_process_was_stopped_is_kept() {
+    in_parallel(1..=6, |_| {
+        let process = Confirmed::start();
+        let mut clients: Vec<HttpClient> = (0..40).map(|_| process.proxy.connect()).collect();
+        process.proxy.signal("STOP");
+        let limit = process.drain();
+        thread::sleep(Duration::from_millis(100));
+        process.agent.set_behavior(Silent);
+        for (number, client) in clients.iter_mut().enumerate() {
+            client.send(&read(&format!("stopped-{number}"), 9_000));
+        }
+        thread::sleep(DRAIN_GRACE + Duration::from_millis(400));
+        process.proxy.signal("CONT");
+        process.check_drained(limit, "stopped");
+    });
+}
+
+/// Guards against a response that lay unread in the socket of a process that was stopped, and that is taken for
+/// the proof that the list is current now.
+#[test]
+fn drain_after_an_unread_response_to_the_first_call_is_kept() {
+    in_parallel(1..=4, |_| {
+        let endpoints = Endpoints::start();
+        let agent = MockAgent::start(&endpoints.list("SERVING"), Late(Duration::from_millis(150)));
+        let proxy = start_config(&endpoints.config(&agent));
+        wait_until("called", || !agent.calls().is_empty());
+        proxy.signal("STOP");
+        thread::sleep(Duration::from_millis(300));
+        let process = Confirmed { endpoints, agent, proxy };
+        let limit = process.drain();
+        process.agent.set_behavior(Silent);
+        thread::sleep(DRAIN_GRACE + Duration::from_millis(400));
+        process.proxy.signal("CONT");
+        process.check_drained(limit, "stopped at its start");
+    });
+}
+
 /// A process without a list serves nothing before the agent has given it one, and then by that.
 #[test]
 fn start_without_a_list_waits_for_the_agent() {
