A failure after silence is dated back to when the agent was last known to be silent

Cause: an error or a reset dated the doubt at its own time. While the agent is silent a call is made every 250 ms, and it may have changed its state right after it took the last one.

Change: with overdue calls open the doubt begins when the last of them was made.

The simulation leaves out what no call can tell from an outage: an agent that answers a confirmed list's call later than the grace, or that hangs with the call.

--- a/crates/membership/src/lease/agent.rs
+++ b/crates/membership/src/lease/agent.rs
@@ -208,8 +208,8 @@
     }
 
     /// Records that the response to a call broke off. What was in it counts as notified since it began.
-    pub fn record_truncated_response(&mut self, now: Micros, call: &DiscoveryCall) {
-        let began_at = call.response_started_at.unwrap_or(now);
+    pub fn record_truncated_response(&mut self, now: Micros, call: &DiscoveryCall, others: &[DiscoveryCall]) {
+        let began_at = silent_since(others, call.response_started_at.unwrap_or(now));
         self.doubt(Doubt::new(now, began_at, ExpiryCause::ResponseMissing));
     }
 
@@ -226,14 +226,22 @@
         }
     }
 
-    /// Records a failed call. `is_held` is whether the agent has taken another call that is still open.
-    pub fn fail(&mut self, now: Micros, call: &DiscoveryCall, failure: CallFailure, is_held: bool) {
+    /// Records a failed call, with the other calls in flight.
+    pub fn fail(
+        &mut self,
+        now: Micros,
+        call: &DiscoveryCall,
+        failure: CallFailure,
+        others: &[DiscoveryCall],
+    ) {
+        let is_held = others.iter().any(|other| other.is_connected);
+        let doubt = Doubt::new(now, silent_since(others, now), ExpiryCause::CallsFailed);
         match failure {
             CallFailure::ConnectionRefused => self.record_refusal(now),
-            CallFailure::ErrorResponse => self.doubt(Doubt::new(now, now, ExpiryCause::CallsFailed)),
+            CallFailure::ErrorResponse => self.doubt(doubt),
             CallFailure::ConnectionLost => {
                 let lost_at = self.lost_at(now);
-                self.doubt(Doubt::new(now, now, ExpiryCause::CallsFailed));
+                self.doubt(doubt);
                 if let AgentList::Unconfirmed(doubt) = &mut self.list {
                     doubt.lost_at = lost_at;
                 }
@@ -241,7 +249,7 @@
             // The agent would respond to the call that it holds.
             CallFailure::Unreachable if is_held && self.is_current() => {}
             CallFailure::Unreachable => {
-                self.doubt(Doubt::new(now, call.started_at, ExpiryCause::CallsFailed));
+                self.doubt(Doubt { notified_from: call.started_at, ..doubt });
             }
         }
     }
@@ -281,3 +289,10 @@
         }
     }
 }
+
+/// Returns the time up to which a silent agent is known to have been so: it took the last of these calls then, and
+/// did not respond to it. Returns `now` if no call is overdue.
+fn silent_since(calls: &[DiscoveryCall], now: Micros) -> Micros {
+    let overdue = calls.iter().filter(|call| call.is_overdue);
+    overdue.map(|call| call.started_at).max().unwrap_or(now)
+}
--- a/crates/membership/src/lease/mod.rs
+++ b/crates/membership/src/lease/mod.rs
@@ -124,10 +124,10 @@
     }
 
     /// Records that the response to a call broke off: its changes count as notified, received or not.
-    pub fn record_truncated_response(&mut self, now: Micros, call: &DiscoveryCall) {
+    pub fn record_truncated_response(&mut self, now: Micros, call: &DiscoveryCall, others: &[DiscoveryCall]) {
         match self {
             Lease::Service(lease) => lease.record_missing_response(call.notified_at()),
-            Lease::Agent(lease) => lease.record_truncated_response(now, call),
+            Lease::Agent(lease) => lease.record_truncated_response(now, call, others),
         }
     }
 
@@ -175,10 +175,7 @@
     ) {
         match self {
             Lease::Service(lease) => lease.fail(now, call, failure),
-            Lease::Agent(lease) => {
-                let is_held = others.iter().any(|other| other.is_connected);
-                lease.fail(now, call, failure, is_held);
-            }
+            Lease::Agent(lease) => lease.fail(now, call, failure, others),
         }
     }
 }
--- a/crates/membership/src/watch/mod.rs
+++ b/crates/membership/src/watch/mod.rs
@@ -224,7 +224,7 @@
         let Some(mut call) = self.take_call(id) else { return };
         call.response_started_at.get_or_insert(now);
         self.last_result = CallResult::Incomplete;
-        self.lease.record_truncated_response(now, &call);
+        self.lease.record_truncated_response(now, &call, &self.calls);
         self.plan_retry(now);
     }
 
@@ -295,7 +295,7 @@
         self.last_result = call.overdue_result();
         actions.push(WatchAction::CloseCall { call: call.id });
         if call.response_started_at.is_some() {
-            self.lease.record_truncated_response(now, &call);
+            self.lease.record_truncated_response(now, &call, &self.calls);
             self.plan_retry(now);
         } else {
             self.lease.fail(now, &call, CallFailure::Unreachable, &self.calls);
