An unconfirmed pushed list does not come back into use after 40 s

Seen: list_of_the_start_is_not_used_in_a_long_outage: an agent that has a drain is silent, gone or fails for 90 s, and from 41.85 s on requests are forwarded by the list of the start again.

Cause: each suspension ended after four times must_ask_in_ms, for a discovery that writes nothing readable. What an agent has counts as notified for as long as it has it.

Change: where lists are pushed only a response ends a suspension.

--- a/crates/membership/src/lease/agent.rs
+++ b/crates/membership/src/lease/agent.rs
@@ -104,7 +104,7 @@
     pub fn expiry(&self, calls: &[DiscoveryCall]) -> Option<Expiry> {
         let terms = self.terms?;
         let (notified_from, cause) = self.earliest_notification(calls)?;
-        Some(terms.expiry(notified_from, notified_from, cause))
+        Some(terms.expiry_until_response(notified_from, cause))
     }
 
     /// Returns the earliest time at which a change that was not received may count as notified, and the cause.
--- a/crates/membership/src/lease/terms.rs
+++ b/crates/membership/src/lease/terms.rs
@@ -9,7 +9,7 @@
     pub drain_grace: Micros,
     /// The time by which forwarding ends before `drain_grace` is over, to allow for requests under way.
     pub margin: Micros,
-    /// The longest suspension of forwarding. By its end, draining endpoints have stopped or reject
+    /// The longest suspension of forwarding where discovery is polled. By its end, draining endpoints have stopped or reject
     /// requests themselves.
     pub max_suspension: Micros,
     /// The time for which discovery is presumed down after it ended a held call with an error. A proxy cannot
@@ -21,13 +21,18 @@
     /// Returns the suspension that follows if changes that were not received count as notified from
     /// `notified_from` on, and the last reason for it counts from `notified_until` on.
     pub(super) fn expiry(&self, notified_from: Micros, notified_until: Micros, cause: ExpiryCause) -> Expiry {
-        let suspended_from = |notified: Micros| notified + self.drain_grace - self.margin;
-        Expiry {
-            notified_from,
-            from: suspended_from(notified_from),
-            until: suspended_from(notified_until) + self.max_suspension,
-            cause,
-        }
+        let until = self.suspended_from(notified_until) + self.max_suspension;
+        Expiry { notified_from, from: self.suspended_from(notified_from), until, cause }
+    }
+
+    /// Returns the suspension that only a response ends if changes that were not received count as notified from
+    /// `notified_from` on.
+    pub(super) fn expiry_until_response(&self, notified_from: Micros, cause: ExpiryCause) -> Expiry {
+        Expiry { notified_from, from: self.suspended_from(notified_from), until: Micros::MAX, cause }
+    }
+
+    fn suspended_from(&self, notified_from: Micros) -> Micros {
+        notified_from + self.drain_grace - self.margin
     }
 }
 
@@ -80,7 +85,7 @@
     pub notified_from: Micros,
     /// The first instant of the period, in microseconds.
     pub from: Micros,
-    /// The end of the period (exclusive), in microseconds.
+    /// The end of the period (exclusive), in microseconds. The maximum if only a response ends it.
     pub until: Micros,
     /// The cause of the suspension.
     pub cause: ExpiryCause,
--- a/crates/membership/tests/agent.rs
+++ b/crates/membership/tests/agent.rs
@@ -107,6 +107,21 @@
     }
 }
 
+/// Guards against a list of the start that comes back into use in a long outage, although the agent still has a
+/// drain that it does not have.
+#[test]
+fn list_of_the_start_is_not_used_in_a_long_outage() {
+    for failure in FAILURES {
+        let phases = vec![
+            Phase { from: Micros::MIN, state: failure },
+            Phase { from: 90 * SECOND, state: AgentState::Answering },
+        ];
+        let mut world = World::new(TERMS[0], InitialList::Unconfirmed, 1, phases, -SECOND);
+        world.run(92 * SECOND);
+        assert!(world.has_drain, "{failure:?}");
+    }
+}
+
 /// Guards against an outage of discovery that suspends forwarding by a list that the agent confirmed before it.
 #[test]
 fn outage_suspends_no_list_that_the_agent_confirmed() {
