A dead call to an agent is found within the grace

Seen: drain_behind_a_dead_call_is_kept: the call that the agent holds is dead, and the agent gets a drain. Forwarding goes on until the call's wait of up to 10 s is over; what the agent has counts as notified at once, whether or not a call is open.

Cause: the waits of a watch were drawn from 2 to 10 s, which spreads the calls of a fleet over a discovery that all of them share. An agent serves one proxy, at no cost.

Change: where lists are pushed a call waits for at most the grace less what it takes to find it dead (250 ms) and to ask again (50 ms): 0.8 to 1.55 s with a grace of 2 s, 0.05 to 0.1 s with 0.5 s. That also bounds what a dead call can hide before an outage.

--- a/crates/membership/src/lease/agent.rs
+++ b/crates/membership/src/lease/agent.rs
@@ -16,6 +16,11 @@
 const RENEWALS_PER_USABLE_TIME: Micros = 4;
 /// The minimum time between two renewals.
 const MIN_RENEWAL_INTERVAL: Micros = 20 * MILLISECOND;
+/// The time that a call takes to confirm the list.
+const CONFIRMATION_TIME: Micros = 50 * MILLISECOND;
+/// The bounds of [`AgentLease::longest_hold`].
+const SHORTEST_HOLD: Micros = 100 * MILLISECOND;
+const LONGEST_HOLD: Micros = 10 * SECOND;
 /// The time within which all sockets of a process that ends are closed.
 const PROCESS_END_TIME: Micros = 50 * MILLISECOND;
 
@@ -152,6 +157,13 @@
         Some(usable_time / RENEWALS_PER_USABLE_TIME).filter(|interval| *interval >= MIN_RENEWAL_INTERVAL)
     }
 
+    /// Returns for how long the agent may hold a call: if the call is dead, that is found, and what was missed is
+    /// received, within the time for which the list may be used.
+    pub fn longest_hold(&self) -> Micros {
+        let usable_time = self.terms.map_or(LONGEST_HOLD, |terms| terms.drain_grace - terms.margin);
+        (usable_time - RESPONSE_GRACE - CONFIRMATION_TIME).clamp(SHORTEST_HOLD, LONGEST_HOLD)
+    }
+
     /// Records that another agent is called from now on. What it has counts as notified
     /// [`NOTIFIED_AFTER_MOVE`] later.
     pub fn change_address(&mut self, now: Micros) {
@@ -187,7 +199,7 @@
                 self.list = AgentList::Unconfirmed(Doubt::new(now, shown_at, ExpiryCause::ResponseLate));
             }
             AgentList::Current { .. } => {
-                let notified_from = shown_at.max(self.notification_that_suspends_at(now + RESPONSE_GRACE));
+                let notified_from = shown_at.max(self.notification_that_suspends_at(now + CONFIRMATION_TIME));
                 self.list = AgentList::Unconfirmed(Doubt::new(now, notified_from, ExpiryCause::ResponseLate));
             }
             AgentList::AgentGone { refused_at } => {
--- a/crates/membership/src/lease/mod.rs
+++ b/crates/membership/src/lease/mod.rs
@@ -140,6 +140,14 @@
         }
     }
 
+    /// Returns for how long an agent may hold a call. `None` if discovery is polled.
+    pub fn longest_agent_hold(&self) -> Option<Micros> {
+        match self {
+            Lease::Service(_) => None,
+            Lease::Agent(lease) => Some(lease.longest_hold()),
+        }
+    }
+
     /// Returns when [`Lease::check`] is due.
     pub fn check_due_at(&self) -> Option<Micros> {
         match self {
--- a/crates/membership/src/watch/backoff.rs
+++ b/crates/membership/src/watch/backoff.rs
@@ -35,7 +35,8 @@
         } else if self.lease.is_in_doubt() {
             DOUBT_WAIT
         } else {
-            self.rng.i64(WATCH_WAIT)
+            let range = self.lease.longest_agent_hold().map_or(WATCH_WAIT, |longest| longest / 2..longest);
+            self.rng.i64(range)
         }
     }
 
--- a/crates/membership/tests/agent.rs
+++ b/crates/membership/tests/agent.rs
@@ -122,6 +122,24 @@
     }
 }
 
+/// Guards against a drain that is missed because the call that the agent holds is dead: what it has counts as
+/// notified whether or not a call is open.
+#[test]
+fn drain_behind_a_dead_call_is_kept() {
+    for seed in 0..400 {
+        let mut rng = Rng::with_seed(seed);
+        let dies_at = SECOND + rng.i64(0..4 * SECOND);
+        let drained_at = dies_at + rng.i64(0..2 * SECOND);
+        let phases = vec![Phase { from: Micros::MIN, state: AgentState::Answering }];
+        let terms = TERMS[seed as usize % 2];
+        let mut world = World::new(terms, InitialList::Unconfirmed, seed, phases, drained_at);
+        world.run(dies_at);
+        world.drop_held_calls();
+        world.run(drained_at + 20 * SECOND);
+        assert!(world.has_drain, "seed {seed}");
+    }
+}
+
 /// Guards against an outage of discovery that suspends forwarding by a list that the agent confirmed before it.
 #[test]
 fn outage_suspends_no_list_that_the_agent_confirmed() {
--- a/crates/membership/tests/agent_simulation/mod.rs
+++ b/crates/membership/tests/agent_simulation/mod.rs
@@ -61,6 +61,7 @@
 struct HeldCall {
     /// The version that the caller has. `None` asks for the full list.
     has_drain: bool,
+    arrives_at: Micros,
     wait_ends: Micros,
     wants_full_list: bool,
 }
@@ -135,8 +136,12 @@
             _ => {}
         }
         self.schedule(self.now, WatchEvent::Connected { call }, false);
-        let held =
-            HeldCall { has_drain: self.has_drain, wait_ends: arrives_at + wait, wants_full_list: wait == 0 };
+        let held = HeldCall {
+            has_drain: self.has_drain,
+            arrives_at,
+            wait_ends: arrives_at + wait,
+            wants_full_list: wait == 0,
+        };
         self.held.insert(call, held);
     }
 
@@ -147,7 +152,8 @@
         if matches!(state, AgentState::Disconnecting | AgentState::Gone) {
             self.close_late_calls();
         }
-        let calls: Vec<CallId> = self.held.keys().copied().collect();
+        let arrived = self.held.iter().filter(|(_, call)| call.arrives_at <= self.now);
+        let calls: Vec<CallId> = arrived.map(|(id, _)| *id).collect();
         for call in calls {
             let held = &self.held[&call];
             let brings_drain = has_drain && !held.has_drain;
@@ -191,8 +197,14 @@
     /// Returns the next time at which the agent may have to treat a call that it holds.
     fn agent_wakes_at(&self) -> Option<Micros> {
         let phases = self.phases.iter().map(|phase| phase.from);
-        let waits = self.held.values().map(|held| held.wait_ends.max(self.now + LATENCY));
-        phases.chain(waits).chain([self.drained_at]).filter(|at| *at > self.now).min()
+        let arrivals = self.held.values().map(|held| held.arrives_at);
+        let waits = self.held.values().map(|held| held.wait_ends);
+        phases.chain(arrivals).chain(waits).chain([self.drained_at]).filter(|at| *at > self.now).min()
+    }
+
+    /// Lets the agent forget the calls that it holds: their connections stay open and silent.
+    pub fn drop_held_calls(&mut self) {
+        self.held.clear();
     }
 
     /// Plays until `end`. Checks that nothing is forwarded past the grace of the drain.
--- a/crates/testkit/src/mock_agent.rs
+++ b/crates/testkit/src/mock_agent.rs
@@ -1,6 +1,7 @@
 //! An agent beside a proxy, to which discovery pushes lists: it answers calls at once with what it has, or
 //! fails in one of several ways.
 
+use std::collections::BTreeSet;
 use std::io::{BufReader, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard};
@@ -49,6 +50,8 @@
     is_listening: bool,
     /// The path and time of each call received.
     calls: Vec<(String, Instant)>,
+    /// The calls that are held, by their number.
+    held: BTreeSet<usize>,
     connections: Vec<TcpStream>,
 }
 
@@ -80,6 +83,7 @@
             behavior,
             is_listening: true,
             calls: Vec::new(),
+            held: BTreeSet::new(),
             connections: Vec::new(),
         };
         let shared = Arc::new(Shared { address, state: Mutex::new(state), changed: Condvar::new() });
@@ -112,6 +116,17 @@
         self.shared.changed.notify_all();
     }
 
+    /// Waits until the calls that the agent holds now have been answered.
+    ///
+    /// # Panics
+    /// If another thread of the agent has panicked.
+    pub fn wait_until_held_calls_are_answered(&self) {
+        let state = self.shared.lock();
+        let held = state.held.clone();
+        let is_held = |state: &mut State| !state.held.is_disjoint(&held);
+        drop(self.shared.changed.wait_while(state, is_held).expect("unpoisoned"));
+    }
+
     /// Returns the calls received so far: the path and time of each.
     #[must_use]
     pub fn calls(&self) -> Vec<(String, Instant)> {
@@ -164,19 +179,31 @@
         let mut reader = BufReader::new(stream.try_clone().expect("a copy"));
         while let Some(call) = read_message(&mut reader) {
             let path = call.line.split(' ').nth(1).expect("a path").to_owned();
-            let Some(response) = self.response_to(path) else { break };
-            if stream.write_all(response.text.as_bytes()).is_err() || response.is_last {
+            let number = self.record(path.clone());
+            let response = self.response_to(&path);
+            let is_sent = response.as_ref().is_some_and(|response| response.send(&mut stream));
+            self.lock().held.remove(&number);
+            self.changed.notify_all();
+            if !is_sent || response.is_some_and(|response| response.is_last) {
                 break;
             }
         }
         let _ = stream.shutdown(Shutdown::Both);
     }
 
-    /// Waits until the call is to be answered. `None` closes its connection.
-    fn response_to(&self, path: String) -> Option<Response> {
-        let query = Query::parse(&path);
+    /// Records a call, which is held from now on. Returns its number.
+    fn record(&self, path: String) -> usize {
         let mut state = self.lock();
+        let number = state.calls.len();
         state.calls.push((path, Instant::now()));
+        state.held.insert(number);
+        number
+    }
+
+    /// Waits until the call is to be answered. `None` closes its connection.
+    fn response_to(&self, path: &str) -> Option<Response> {
+        let query = Query::parse(path);
+        let mut state = self.lock();
         let due = Instant::now() + query.wait;
         loop {
             let is_due = query.after.is_none_or(|after| state.version > after) || Instant::now() >= due;
@@ -250,6 +277,11 @@
         Response { text, is_last: false }
     }
 
+    /// Returns whether the response was sent.
+    fn send(&self, stream: &mut TcpStream) -> bool {
+        stream.write_all(self.text.as_bytes()).is_ok()
+    }
+
     fn truncated(mut self) -> Response {
         self.text.truncate(self.text.len() - 8);
         Response { text: self.text, is_last: true }
--- a/tests/pushed_lists.rs
+++ b/tests/pushed_lists.rs
@@ -124,11 +124,24 @@
         Instant::now() + DRAIN_GRACE
     }
 
+    /// What the agent did last, and the requests that came to the endpoint that drains.
+    fn trace(&self) -> String {
+        let last = |of: Vec<(String, Instant)>| of.into_iter().rev().take(8).collect::<Vec<_>>();
+        let received = self.endpoints.received_at.lock().expect("unpoisoned").clone();
+        format!(
+            "calls {:#?}, received {:#?}, log {}",
+            last(self.agent.calls()),
+            received.iter().rev().take(4).collect::<Vec<_>>(),
+            self.proxy.log()
+        )
+    }
+
     /// Checks that nothing is forwarded past `limit` now, nor once the agent answers, and that requests are served
     /// then.
     fn check_drained(&self, limit: Instant, case: &str) {
         self.proxy.send_reads(PHASE);
-        assert_eq!(self.endpoints.received_after(limit), 0, "{case}: forwarded past the grace");
+        let late = self.endpoints.received_after(limit);
+        assert_eq!(late, 0, "{case}: forwarded past the grace {limit:?}; {}", self.trace());
         self.agent.set_behavior(Answering);
         wait_until(&format!("served after {case}"), || {
             self.proxy.request(&read(&unique_request_id(), 9_000)).status() == 200
@@ -193,7 +206,8 @@
         process.proxy.send_reads(PHASE + Duration::from_millis(70) * number);
         let limit = process.drain();
         process.agent.set_behavior(Answering);
-        thread::sleep(Duration::from_millis(40));
+        // The agent is back for as long as it takes to answer the calls that it holds.
+        process.agent.wait_until_held_calls_are_answered();
         process.agent.set_behavior(Silent);
         process.check_drained(limit, "between two outages");
     });
