--- a/crates/membership/src/lease/mod.rs
+++ b/crates/membership/src/lease/mod.rs
@@ -5,20 +5,28 @@
 //! Because the proxy may have missed the drain, it then stops sending to all endpoints.
 //!
 //! The lease has one bound: the earliest time at which a change that this process has not received may count
-//! as notified. There is also a bound while no call is in flight and while no call has failed:
+//! as notified. There is also a bound while no call is in flight and while no call has failed.
+//!
+//! Where discovery is polled ([`ServiceLease`]):
 //!
 //! - Unconfirmed (the list came with the configuration, and its age is unknown): from the start of the
 //!   process, until a response or a refused connection.
 //! - Confirmed, a call is in flight: from two seconds after the wait of the call, or from six seconds after
 //!   the call if it requests the full list, until a response.
 //! - Confirmed, no call is in flight: from six seconds after the last response, until the next call.
-//! - A call to a polled discovery failed: from six seconds after the list last counted as confirmed (at the
-//!   latest, the time of the first failure), until a response. The six seconds start later if discovery was
-//!   unreachable for every proxy, which is inferred from the [`CallFailure`].
+//! - A call failed: from six seconds after the list last counted as confirmed (at the latest, the time of the
+//!   first failure), until a response. The six seconds start later if discovery was unreachable for every
+//!   proxy, which is inferred from the [`CallFailure`].
 //! - A response broke off, or is missing: from two seconds after the wait of its call, until a response.
 //!
-//! There is no bound while there is no list and no call has failed. If an agent pushes lists, its silence
-//! sets no bound, because it sends nothing while nothing changes.
+//! Where lists are pushed to an agent ([`AgentLease`]), which is silent while discovery is down:
+//!
+//! - Unconfirmed: from the start of the process, from four seconds after another agent was named, or from when
+//!   a call failed, a response broke off or came late, or the process last ran; until a prompt response.
+//! - Current, also while the agent is silent: from when the process last ran, which it renews.
+//! - Current, and the agent is gone: from the last refused connection.
+//!
+//! There is no bound while there is no list and no call has failed.
 //!
 //! Forwarding is suspended from a time after the bound: `drain_grace` minus `margin`.
 
